--- /dev/null
+++ b/apps/sardinehollowd_platform/Main.cpp
@@ -0,0 +1,93 @@
+#include "common/CommandLine.h"
+#include "common/ExitCode.h"
+#include "platform/KvStore.h"
+#include "platform/PlatformProtocol.h"
+#include "platform/PlatformSchema.h"
+#include "sardinehollow_gateway/application/GatewayApplication.h"
+#include "sardinehollow_gateway/application/GatewaySettingsReader.h"
+#include "sardinehollow_gateway/logging/NonBlockingSink.h"
+
+#include <Poco/Exception.h>
+
+#include <csignal>
+#include <iostream>
+#include <memory>
+#include <unistd.h>
+
+namespace {
+
+using sardinehollow::apps::ExitCode;
+using sardinehollow::gateway::GatewayApplication;
+
+constexpr const char *usage = R"(sardinehollowd-platform: the daemon of one entry VM on the users' platform.
+
+Usage:
+  sardinehollowd-platform --config FILE
+  sardinehollowd-platform (--help | --version)
+
+Options:
+  --config FILE  Settings of this daemon in JSON; see deploy/settings.json.template.
+  --help         Show this text.
+  --version      Show the version.
+
+SIGTERM and SIGINT make the daemon leave without cutting a request.
+Exit codes: 0 done, 2 usage, 3 invalid settings.
+)";
+
+// Signal handlers take no argument; one daemon runs in a process.
+GatewayApplication *runningApplication = nullptr;
+
+void handleSignal(int signal)
+{
+    if (!runningApplication)
+        return;
+    if (signal == SIGHUP)
+        runningApplication->requestReload();
+    else
+        runningApplication->requestStop();
+}
+
+ExitCode serve(const sardinehollow::gateway::GatewaySettings &settings)
+{
+    const sardinehollow::adapter::PlatformProtocol protocol;
+    const sardinehollow::adapter::PlatformSchema schema;
+    sardinehollow::adapter::KvStore store(settings.storeAddress);
+    const auto sink
+            = std::make_shared<sardinehollow::gateway::NonBlockingSink>(STDOUT_FILENO);
+    try {
+        GatewayApplication application(settings, protocol, schema, store, sink);
+        runningApplication = &application;
+        application.run();
+        runningApplication = nullptr;
+    } catch (const Poco::Exception &exception) {
+        std::cerr << "cannot start: " << exception.displayText()
+                  << "; check that the addresses of the settings are free and local\n";
+        return ExitCode::Usage;
+    }
+    return ExitCode::Done;
+}
+
+} // namespace
+
+int main(int argumentCount, char **arguments)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    for (const int signal : {SIGTERM, SIGINT, SIGHUP})
+        std::signal(signal, handleSignal);
+    int exitCode = 0;
+    const auto options = sardinehollow::apps::parseCommandLine(usage, "sardinehollowd-platform",
+                                                               argumentCount, arguments, exitCode);
+    if (!options)
+        return exitCode;
+    const auto text = sardinehollow::apps::readFile(options->at("--config").asString());
+    if (!text) {
+        std::cerr << "cannot read the settings file; check its path\n";
+        return static_cast<int>(ExitCode::Usage);
+    }
+    const auto settings = sardinehollow::gateway::readGatewaySettings(*text);
+    if (!settings) {
+        std::cerr << sardinehollow::config::toText(settings.error());
+        return static_cast<int>(ExitCode::Invalid);
+    }
+    return static_cast<int>(serve(*settings));
+}
--- a/cmake/SardinehollowTargets.cmake
+++ b/cmake/SardinehollowTargets.cmake
@@ -1,5 +1,3 @@
-include(Catch)
-
 # Compile flags that every hand-written target shares.
 add_library(sardinehollow_options INTERFACE)
 # -Wrestrict reports std::string concatenation in GCC 12 wrongly (GCC bug 105651).
--- a/modules/sardinehollow_daemon/application/DaemonApplication.cpp
+++ b/modules/sardinehollow_daemon/application/DaemonApplication.cpp
@@ -3,7 +3,7 @@
 #include "sardinehollow_daemon/status/PoolStatusJson.h"
 #include "sardinehollow_entry/handlers/CallerHandlerFactory.h"
 #include "sardinehollow_entry/handlers/OperatorHandlerFactory.h"
-#include "sardinehollow_entry/metrics/PrometheusWriter.h"
+#include "sardinehollow_metrics/PrometheusWriter.h"
 
 #include <Poco/JSON/Object.h>
 #include <spdlog/spdlog.h>
@@ -161,7 +161,7 @@
 
 std::string DaemonApplication::metricsText() const
 {
-    entry::PrometheusWriter writer;
+    metrics::PrometheusWriter writer;
     writer.family("store_calls_total", "Calls to the platform's store.", "counter");
     for (std::size_t kind = 0; kind < platform::callKindCount; ++kind) {
         for (std::size_t purpose = 0; purpose < platform::callPurposeCount; ++purpose) {
--- a/modules/sardinehollow_daemon/steering/ShiftService.cpp
+++ b/modules/sardinehollow_daemon/steering/ShiftService.cpp
@@ -1,7 +1,7 @@
 #include "sardinehollow_daemon/steering/ShiftService.h"
 
 #include "sardinehollow_daemon/steering/ShiftMessages.h"
-#include "sardinehollow_entry/metrics/PrometheusWriter.h"
+#include "sardinehollow_metrics/PrometheusWriter.h"
 #include "sardinehollow_policy/lookup/CallerHash.h"
 
 #include <Poco/JSON/Array.h>
@@ -95,7 +95,7 @@
 
 std::string ShiftService::metricsText() const
 {
-    entry::PrometheusWriter writer;
+    metrics::PrometheusWriter writer;
     const std::lock_guard lock(m_mutex);
     writer.family("shift_admitted_total", "Shifted requests admitted here.", "counter");
     for (const auto &[name, admission] : m_admissions)
--- a/modules/sardinehollow_entry/metrics/Metrics.cpp
+++ b/modules/sardinehollow_entry/metrics/Metrics.cpp
@@ -1,14 +1,14 @@
 #include "sardinehollow_entry/metrics/Metrics.h"
 
-#include "sardinehollow_entry/metrics/LatencyHistogram.h"
-#include "sardinehollow_entry/metrics/PrometheusWriter.h"
+#include "sardinehollow_metrics/LatencyHistogram.h"
+#include "sardinehollow_metrics/PrometheusWriter.h"
 
 namespace sardinehollow::entry {
 
 namespace {
 
 template <typename Counters>
-void appendReasons(PrometheusWriter &writer, const std::string &name, const std::string &help,
+void appendReasons(metrics::PrometheusWriter &writer, const std::string &name, const std::string &help,
                    const Counters &counters)
 {
     writer.family(name, help, "counter");
@@ -21,7 +21,7 @@
 
 // A name may carry labels: "events_total{kind=\"a\"}". Names of one metric follow each other.
 template <typename Values>
-void appendValues(PrometheusWriter &writer, const std::string &type, const Values &values)
+void appendValues(metrics::PrometheusWriter &writer, const std::string &type, const Values &values)
 {
     std::string previous;
     for (const auto &[name, value] : values) {
@@ -56,11 +56,11 @@
 void Metrics::recordLatency(const std::string &rank, const std::string &kind,
                             core::Duration latency)
 {
-    const std::string labels = PrometheusWriter::labelText({{"rank", rank}, {"kind", kind}});
+    const std::string labels = metrics::PrometheusWriter::labelText({{"rank", rank}, {"kind", kind}});
     const std::lock_guard lock(m_mutex);
-    std::unique_ptr<LatencyHistogram> &histogram = m_latencies[labels];
+    std::unique_ptr<metrics::LatencyHistogram> &histogram = m_latencies[labels];
     if (!histogram)
-        histogram = std::make_unique<LatencyHistogram>();
+        histogram = std::make_unique<metrics::LatencyHistogram>();
     histogram->record(latency);
 }
 
@@ -78,7 +78,7 @@
 
 std::string Metrics::prometheusText() const
 {
-    PrometheusWriter writer;
+    metrics::PrometheusWriter writer;
     appendReasons(writer, "refusals_total", "Requests that were refused, by reason.", m_refusals);
     appendReasons(writer, "retries_total", "Attempts that were repeated, by reason.", m_retries);
     writer.family("lookups_total", "Look-ups that were answered.", "counter");
--- a/modules/sardinehollow_entry/metrics/Metrics.h
+++ b/modules/sardinehollow_entry/metrics/Metrics.h
@@ -11,9 +11,11 @@
 #include <mutex>
 #include <string>
 
-namespace sardinehollow::entry {
-
+namespace sardinehollow::metrics {
 class LatencyHistogram;
+}
+
+namespace sardinehollow::entry {
 
 /** Counters and latencies of one daemon. Safe for concurrent use. */
 class Metrics
@@ -40,7 +42,7 @@
     ReasonCounters m_retries {};
     std::atomic<std::uint64_t> m_lookups {0};
     mutable std::mutex m_mutex;
-    std::map<std::string, std::unique_ptr<LatencyHistogram>> m_latencies;
+    std::map<std::string, std::unique_ptr<metrics::LatencyHistogram>> m_latencies;
     std::map<std::string, std::uint64_t> m_counters;
     std::map<std::string, double> m_gauges;
 };
--- /dev/null
+++ b/modules/sardinehollow_gateway/application/DelayedRemoval.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "sardinehollow_core/time/Instant.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace sardinehollow::gateway {
+
+/**
+ * Decides when a key that vanished from the store counts as gone. After an outage of the store
+ * leases may have lapsed although their holders live and write their keys again shortly.
+ */
+class DelayedRemoval
+{
+public:
+    explicit DelayedRemoval(core::Duration reappearanceTime);
+
+    void onStoreRegained(core::Instant now) { m_regainedAt = now; }
+    /** Returns whether the key is gone at once; if not, it is due later unless it is kept. */
+    bool onMissing(const std::string &key, core::Instant now);
+    /** The key is in the store. */
+    void keep(const std::string &key) { m_due.erase(key); }
+    /** Takes the keys that did not come back in time. */
+    std::vector<std::string> takeDue(core::Instant now);
+
+private:
+    const core::Duration m_reappearanceTime;
+    /** Negative infinity in effect: no outage yet. */
+    core::Instant m_regainedAt = -std::chrono::hours(1);
+    std::map<std::string, core::Instant> m_due;
+};
+
+} // namespace sardinehollow::gateway
--- /dev/null
+++ b/modules/sardinehollow_gateway/application/EntryTracker.cpp
@@ -0,0 +1,100 @@
+#include "sardinehollow_gateway/application/EntryTracker.h"
+
+#include "sardinehollow_gateway/application/EntryCodec.h"
+
+#include <set>
+#include <string_view>
+
+namespace sardinehollow::gateway {
+
+namespace {
+
+std::string nameOf(const std::string &key)
+{
+    return key.substr(std::string_view(entryPrefix).size());
+}
+
+} // namespace
+
+EntryTracker::EntryTracker(GatewayServices &services, core::Duration reappearanceTime)
+    : m_services(services)
+    , m_removals(reappearanceTime)
+{ }
+
+void EntryTracker::onSnapshot(const std::vector<platform::KeyValue> &keyValues)
+{
+    std::set<std::string> present;
+    for (const platform::KeyValue &keyValue : keyValues) {
+        present.insert(nameOf(keyValue.key));
+        apply(keyValue);
+    }
+    std::vector<std::string> missing;
+    for (const auto &[name, daemon] : m_services.routing.entries().daemons()) {
+        if (present.count(name) == 0)
+            missing.push_back(name);
+    }
+    for (const std::string &name : missing)
+        onMissing(name);
+}
+
+void EntryTracker::onChanged(const std::vector<platform::KeyValue> &keyValues)
+{
+    for (const platform::KeyValue &keyValue : keyValues) {
+        if (keyValue.isDeleted)
+            onMissing(nameOf(keyValue.key));
+        else
+            apply(keyValue);
+    }
+}
+
+void EntryTracker::apply(const platform::KeyValue &keyValue)
+{
+    const core::Result<routing::EntryDaemon> daemon = decodeEntry(keyValue.value);
+    if (!daemon) {
+        m_services.log.state(LogLine("entry-unreadable")
+                                     .text("key", keyValue.key)
+                                     .text("error", daemon.error().text()));
+        return;
+    }
+    m_removals.keep(daemon->name);
+    routing::EntryDirectory &entries = m_services.routing.entries();
+    const auto found = entries.daemons().find(daemon->name);
+    if (found != entries.daemons().end() && found->second == *daemon)
+        return;
+    entries.put(*daemon);
+    m_services.log.state(LogLine("entry-added")
+                                 .text("vm", daemon->name)
+                                 .text("address", daemon->address)
+                                 .number("revision", keyValue.modRevision));
+}
+
+void EntryTracker::onMissing(const std::string &name)
+{
+    if (m_removals.onMissing(name, m_services.loop.now()))
+        remove(name);
+}
+
+void EntryTracker::remove(const std::string &name)
+{
+    m_services.routing.entries().remove(name);
+    m_services.log.state(LogLine("entry-removed").text("vm", name));
+}
+
+void EntryTracker::removeDue()
+{
+    for (const std::string &name : m_removals.takeDue(m_services.loop.now()))
+        remove(name);
+}
+
+void EntryTracker::onStoreLost(const core::Error &reason)
+{
+    m_services.log.state(LogLine("store-lost").text("for", "entries").text("error", reason.text()));
+}
+
+void EntryTracker::onStoreRegained()
+{
+    m_removals.onStoreRegained(m_services.loop.now());
+    m_services.log.state(LogLine("store-regained").text("for", "entries"));
+}
+
+} // namespace sardinehollow::gateway
--- /dev/null
+++ b/modules/sardinehollow_gateway/application/GatewayApplication.cpp
@@ -0,0 +1,208 @@
+#include "sardinehollow_gateway/application/GatewayApplication.h"
+
+#include "sardinehollow_core/hash/StableHash.h"
+#include "sardinehollow_gateway/application/EntryCodec.h"
+#include "sardinehollow_metrics/PrometheusWriter.h"
+
+#include <algorithm>
+
+namespace sardinehollow::gateway {
+
+namespace {
+
+// Signals, removals that fall due and unused connections are looked at this often.
+constexpr core::Duration tickInterval = std::chrono::milliseconds(100);
+// A daemon that died is out of the directory after this time; two renewals may be lost.
+constexpr std::chrono::seconds entryLifetime {3};
+// Callers that keep an answer of the directory have asked again by then, except for a few.
+constexpr core::Duration announceTime = std::chrono::milliseconds(2500);
+// A caller's next request may be on its way to a connection that was quiet for less.
+constexpr core::Duration quietBeforeClose = std::chrono::milliseconds(300);
+// Left of the grace period for the process to end.
+constexpr core::Duration exitTime = std::chrono::milliseconds(500);
+
+std::uint64_t seedOf(const GatewaySettings &settings, std::string_view purpose)
+{
+    const auto start
+            = static_cast<std::uint64_t>(BootClock().now().count());
+    return core::combineHashes(core::stableHash(settings.self.name + std::string(purpose)), start);
+}
+
+} // namespace
+
+GatewayApplication::GatewayApplication(GatewaySettings settings, const WireProtocol &protocol,
+                                       const StoreSchema &schema, platform::KeyValueStore &store,
+                                       spdlog::sink_ptr logSink)
+    : m_settings(std::move(settings))
+    , m_protocol(protocol)
+    , m_store(store)
+    , m_random(seedOf(m_settings, "requests"))
+    , m_loop(m_clock)
+    , m_log(std::move(logSink))
+    , m_routing(m_settings.routing, m_random)
+    , m_pool(m_loop, protocol)
+    , m_services {m_loop, protocol, m_routing, m_pool, m_metrics, m_log}
+    , m_operator(m_services, schema)
+    , m_servers(m_services, schema, m_settings.reappearanceTime)
+    , m_entries(m_services, m_settings.reappearanceTime + std::chrono::seconds(1))
+{
+    using platform::CallPurpose;
+    m_log.state(LogLine("started")
+                        .text("vm", m_settings.self.name)
+                        .text("failureDomain", m_settings.self.failureDomain)
+                        .text("region", m_settings.self.region)
+                        .text("address", m_settings.self.address));
+    startListeners();
+    m_operatorMirror = std::make_unique<LoopMirror>(m_loop, store, CallPurpose::Configuration,
+                                                    schema.operatorPrefix(), m_operator,
+                                                    seedOf(m_settings, "operator"));
+    m_serverMirror = std::make_unique<LoopMirror>(m_loop, store, CallPurpose::Servers,
+                                                  schema.serverPrefix(), m_servers,
+                                                  seedOf(m_settings, "servers"));
+    m_entryMirror = std::make_unique<LoopMirror>(m_loop, store, CallPurpose::Entries, entryPrefix,
+                                                 m_entries, seedOf(m_settings, "entries"));
+    onTick();
+}
+
+GatewayApplication::~GatewayApplication() = default;
+
+void GatewayApplication::startListeners()
+{
+    m_callers = std::make_unique<CallerListener>(m_services, m_settings.self.address);
+    m_readiness = std::make_unique<QueryListener>(
+            m_loop, m_settings.readinessAddress,
+            [this](const Poco::Net::HTTPRequest &) { return answerReadiness(); });
+    m_directory = std::make_unique<QueryListener>(
+            m_loop, m_settings.directoryAddress, [this](const Poco::Net::HTTPRequest &request) {
+                return answerEntryQuery(request);
+            });
+    if (m_settings.metricsAddress.empty())
+        return;
+    m_metricsListener = std::make_unique<QueryListener>(
+            m_loop, m_settings.metricsAddress, [this](const Poco::Net::HTTPRequest &) {
+                return QueryListener::Answer {200, "text/plain; version=0.0.4", metricsText()};
+            });
+}
+
+void GatewayApplication::run()
+{
+    m_loop.run();
+    m_log.state(LogLine("stopped").number("connections", static_cast<std::int64_t>(
+                                                  m_callers->connectionCount())));
+    m_log.flush();
+}
+
+void GatewayApplication::requestStop()
+{
+    m_stopRequested = true;
+}
+
+void GatewayApplication::requestReload()
+{
+    m_reloadRequested = true;
+}
+
+void GatewayApplication::onTick()
+{
+    checkSignals();
+    m_servers.removeDue();
+    m_entries.removeDue();
+    m_pool.prune();
+    if (m_stoppingSince.count() > 0)
+        advanceStop();
+    // Callers are sent here only once requests can be routed.
+    if (!m_ownEntry && isReady()) {
+        m_ownEntry = std::make_unique<platform::LeasedKey>(
+                m_store, platform::CallPurpose::Entries, entryPrefix + m_settings.self.name,
+                encodeEntry(m_settings.self), std::max(entryLifetime, m_settings.shortestLease),
+                seedOf(m_settings, "lease"));
+        m_log.state(LogLine("ready").text("vm", m_settings.self.name));
+    }
+    m_log.flush();
+    m_loop.schedule(tickInterval, [this] { onTick(); });
+}
+
+void GatewayApplication::checkSignals()
+{
+    if (m_reloadRequested.exchange(false))
+        m_log.state(LogLine("reload").text("detail", "no setting can change while running"));
+    if (m_stopRequested.exchange(false) && m_stoppingSince.count() == 0)
+        beginStop();
+}
+
+void GatewayApplication::beginStop()
+{
+    m_stoppingSince = m_loop.now();
+    m_services.isLeaving = true;
+    if (m_ownEntry)
+        m_ownEntry->release();
+    m_log.state(LogLine("stopping").milliseconds("grace", m_settings.stopGrace));
+}
+
+void GatewayApplication::advanceStop()
+{
+    const core::Duration elapsed = m_loop.now() - m_stoppingSince;
+    if (elapsed < announceTime)
+        return;
+    m_callers->closeIdle(quietBeforeClose);
+    const bool isDone = m_callers->connectionCount() == 0;
+    if (isDone || elapsed > m_settings.stopGrace - exitTime)
+        m_loop.stop();
+}
+
+bool GatewayApplication::isReady() const
+{
+    return !m_services.isLeaving && m_routing.table() != nullptr;
+}
+
+QueryListener::Answer GatewayApplication::answerReadiness() const
+{
+    if (isReady())
+        return {200, "text/plain", "ready\n"};
+    return {503, "text/plain", m_services.isLeaving ? "leaving\n" : "no configuration yet\n"};
+}
+
+QueryListener::Answer
+GatewayApplication::answerEntryQuery(const Poco::Net::HTTPRequest &request) const
+{
+    const std::optional<EntryQuery> query = m_protocol.readEntryQuery(request);
+    if (!query)
+        return {404, "text/plain", "unknown path; ask for entry daemons\n"};
+    routing::EntryDirectory entries = m_routing.entries();
+    // The own entry in the store lags behind what this daemon knows of itself.
+    if (m_services.isLeaving)
+        entries.remove(m_settings.self.name);
+    else if (isReady())
+        entries.put(m_settings.self);
+    const std::vector<std::string> addresses
+            = entries.addressesFor(query->region, query->failureDomain);
+    if (addresses.empty())
+        return {503, "text/plain", "no entry daemon is known yet\n"};
+    return {200, "application/json",
+            m_protocol.entryAnswer(addresses, m_settings.directoryLifetime)};
+}
+
+std::string GatewayApplication::metricsText() const
+{
+    metrics::PrometheusWriter writer;
+    const auto add = [&writer](const char *name, const char *help, const char *type,
+                               std::uint64_t value) {
+        writer.family(name, help, type);
+        writer.sample(name, {}, std::to_string(value));
+    };
+    add("backend_connections_opened_total", "Connections opened to backend servers.", "counter",
+        m_pool.opened());
+    add("backend_connections_reused_total", "Requests sent on a kept connection.", "counter",
+        m_pool.reused());
+    add("backend_connections", "Connections to backend servers.", "gauge", m_pool.size());
+    add("caller_connections", "Connections of callers.", "gauge", m_callers->connectionCount());
+    add("backend_servers", "Backend servers known.", "gauge", m_routing.backends().all().size());
+    add("entry_daemons", "Daemons known.", "gauge", m_routing.entries().daemons().size());
+    add("log_lines_omitted_total", "Request lines left out of the log.", "counter",
+        m_log.omitted());
+    add("configuration_version", "Version in force; 0 for none.", "gauge",
+        m_routing.table() ? m_routing.table()->configuration().version : 0);
+    return m_metrics.prometheusText() + writer.text();
+}
+
+} // namespace sardinehollow::gateway
--- /dev/null
+++ b/modules/sardinehollow_gateway/application/GatewayApplication.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "sardinehollow_core/random/SeededRandom.h"
+#include "sardinehollow_gateway/application/EntryTracker.h"
+#include "sardinehollow_gateway/application/GatewaySettings.h"
+#include "sardinehollow_gateway/application/LoopMirror.h"
+#include "sardinehollow_gateway/application/OperatorTracker.h"
+#include "sardinehollow_gateway/application/ServerTracker.h"
+#include "sardinehollow_gateway/application/StoreSchema.h"
+#include "sardinehollow_gateway/caller/CallerListener.h"
+#include "sardinehollow_gateway/loop/BootClock.h"
+#include "sardinehollow_gateway/query/QueryListener.h"
+#include "sardinehollow_platform/lease/LeasedKey.h"
+
+#include <functional>
+#include <memory>
+
+namespace sardinehollow::gateway {
+
+/** A daemon that serves callers of a platform: wiring, start and stop. */
+class GatewayApplication
+{
+public:
+    /** Throws Poco::Exception if an address of the settings cannot be used. */
+    GatewayApplication(GatewaySettings settings, const WireProtocol &protocol,
+                       const StoreSchema &schema, platform::KeyValueStore &store,
+                       spdlog::sink_ptr logSink);
+    ~GatewayApplication();
+
+    /** Serves until the stop that requestStop() asked for has ended. */
+    void run();
+    /** May be called from a signal handler. */
+    void requestStop();
+    /** The settings changed; may be called from a signal handler. */
+    void requestReload();
+
+private:
+    void startListeners();
+    void onTick();
+    void checkSignals();
+    void beginStop();
+    void advanceStop();
+    bool isReady() const;
+    QueryListener::Answer answerReadiness() const;
+    QueryListener::Answer answerEntryQuery(const Poco::Net::HTTPRequest &request) const;
+    std::string metricsText() const;
+
+    const GatewaySettings m_settings;
+    const WireProtocol &m_protocol;
+    platform::KeyValueStore &m_store;
+    BootClock m_clock;
+    core::SeededRandom m_random;
+    EventLoop m_loop;
+    EventLog m_log;
+    GatewayMetrics m_metrics;
+    routing::RoutingState m_routing;
+    BackendPool m_pool;
+    GatewayServices m_services;
+    OperatorTracker m_operator;
+    ServerTracker m_servers;
+    EntryTracker m_entries;
+    std::unique_ptr<QueryListener> m_readiness;
+    std::unique_ptr<QueryListener> m_directory;
+    std::unique_ptr<QueryListener> m_metricsListener;
+    std::unique_ptr<CallerListener> m_callers;
+    std::unique_ptr<LoopMirror> m_operatorMirror;
+    std::unique_ptr<LoopMirror> m_serverMirror;
+    std::unique_ptr<LoopMirror> m_entryMirror;
+    std::unique_ptr<platform::LeasedKey> m_ownEntry;
+    std::atomic<bool> m_stopRequested {false};
+    std::atomic<bool> m_reloadRequested {false};
+    core::Instant m_stoppingSince {0};
+};
+
+} // namespace sardinehollow::gateway
--- /dev/null
+++ b/modules/sardinehollow_gateway/application/GatewaySettingsReader.cpp
@@ -0,0 +1,74 @@
+#include "sardinehollow_gateway/application/GatewaySettingsReader.h"
+
+#include "sardinehollow_config/json/JsonDocument.h"
+#include "sardinehollow_config/json/ObjectReader.h"
+
+namespace sardinehollow::gateway {
+
+namespace {
+
+constexpr double longestSeconds = 3600;
+constexpr double mostRetries = 1e6;
+
+core::Duration seconds(config::ObjectReader &reader, const char *field, double low)
+{
+    return std::chrono::duration_cast<core::Duration>(
+            std::chrono::duration<double>(reader.number(field, low, longestSeconds)));
+}
+
+std::map<std::string, std::string> readRegions(config::ObjectReader &reader)
+{
+    std::map<std::string, std::string> regions;
+    const Poco::JSON::Object::Ptr object = reader.rawObject("regions");
+    if (object.isNull()) {
+        reader.fault("regions", "is missing", "give the region of each failure domain");
+        return regions;
+    }
+    for (const std::string &failureDomain : object->getNames()) {
+        const Poco::Dynamic::Var region = object->get(failureDomain);
+        if (region.isString())
+            regions[failureDomain] = region.extract<std::string>();
+        else
+            reader.fault("regions", "names no region for " + failureDomain, "give its region");
+    }
+    return regions;
+}
+
+GatewaySettings readSettings(config::ObjectReader &reader)
+{
+    GatewaySettings settings;
+    settings.self.name = reader.text("vm");
+    settings.self.failureDomain = reader.text("failureDomain");
+    settings.self.region = reader.text("region");
+    settings.self.address = reader.text("callerAddress");
+    settings.readinessAddress = reader.text("readinessAddress");
+    settings.directoryAddress = reader.text("directoryAddress");
+    settings.metricsAddress = reader.optionalText("metricsAddress", "");
+    settings.storeAddress = reader.text("storeAddress");
+    settings.routing.regions = readRegions(reader);
+    settings.routing.selection.region = settings.self.region;
+    settings.routing.retries.ratio = reader.number("retryRatio", 0, 1);
+    settings.routing.retries.allowance = reader.number("retryAllowance", 0, mostRetries);
+    settings.routing.retries.window = seconds(reader, "retryWindowSeconds", 0.1);
+    settings.stopGrace = seconds(reader, "stopGraceSeconds", 1);
+    settings.shortestLease = std::chrono::seconds(reader.integer("shortestLeaseSeconds", 1, 600));
+    reader.finish();
+    return settings;
+}
+
+} // namespace
+
+tl::expected<GatewaySettings, config::FaultList> readGatewaySettings(const std::string &text)
+{
+    config::FaultList faults;
+    const Poco::JSON::Object::Ptr object = config::parseJsonObject(text, faults);
+    if (object.isNull())
+        return tl::unexpected<config::FaultList>(std::move(faults));
+    config::ObjectReader reader(object, "", faults);
+    GatewaySettings settings = readSettings(reader);
+    if (!faults.empty())
+        return tl::unexpected<config::FaultList>(std::move(faults));
+    return settings;
+}
+
+} // namespace sardinehollow::gateway
--- /dev/null
+++ b/modules/sardinehollow_gateway/application/LoopMirror.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "sardinehollow_gateway/loop/EventLoop.h"
+#include "sardinehollow_platform/mirror/MirrorListener.h"
+#include "sardinehollow_platform/mirror/PrefixMirror.h"
+
+namespace sardinehollow::gateway {
+
+/** Passes what a mirror reports on to a listener on the loop's thread. */
+class LoopMirror : private platform::MirrorListener
+{
+public:
+    LoopMirror(EventLoop &loop, platform::KeyValueStore &store, platform::CallPurpose purpose,
+               const std::string &prefix, platform::MirrorListener &target, std::uint64_t seed)
+        : m_loop(loop)
+        , m_target(target)
+        , m_mirror(store, purpose, prefix, *this, seed)
+    { }
+
+private:
+    void onSnapshot(const std::vector<platform::KeyValue> &keyValues) override
+    {
+        m_loop.post([this, keyValues] { m_target.onSnapshot(keyValues); });
+    }
+    void onChanged(const std::vector<platform::KeyValue> &keyValues) override
+    {
+        m_loop.post([this, keyValues] { m_target.onChanged(keyValues); });
+    }
+    void onStoreLost(const core::Error &reason) override
+    {
+        m_loop.post([this, reason] { m_target.onStoreLost(reason); });
+    }
+    void onStoreRegained() override
+    {
+        m_loop.post([this] { m_target.onStoreRegained(); });
+    }
+
+    EventLoop &m_loop;
+    platform::MirrorListener &m_target;
+    platform::PrefixMirror m_mirror;
+};
+
+} // namespace sardinehollow::gateway
--- /dev/null
+++ b/modules/sardinehollow_gateway/connection/BufferedConnection.cpp
@@ -0,0 +1,165 @@
+#include "sardinehollow_gateway/connection/BufferedConnection.h"
+
+#include "sardinehollow_core/http/SocketOptions.h"
+
+#include <Poco/Net/NetException.h>
+
+#include <array>
+
+namespace sardinehollow::gateway {
+
+namespace {
+
+constexpr std::size_t readBytes = 64 * 1024;
+
+} // namespace
+
+BufferedConnection::BufferedConnection(EventLoop &loop, const Poco::Net::StreamSocket &socket)
+    : m_loop(loop)
+    , m_socket(socket)
+    , m_isConnected(true)
+{
+    m_socket.setBlocking(false);
+    core::configureSocket(m_socket);
+    m_loop.add(m_socket, *this, true, false);
+}
+
+BufferedConnection::BufferedConnection(EventLoop &loop, const Poco::Net::SocketAddress &address)
+    : m_loop(loop)
+    , m_isWriting(true)
+{
+    m_socket.connectNB(address);
+    core::configureSocket(m_socket);
+    m_loop.add(m_socket, *this, true, true);
+}
+
+BufferedConnection::~BufferedConnection()
+{
+    close();
+}
+
+void BufferedConnection::send(std::string_view bytes)
+{
+    if (!m_isOpen)
+        return;
+    m_output.append(bytes);
+    if (m_isConnected && !m_isWriting)
+        flush();
+}
+
+void BufferedConnection::setReading(bool reading)
+{
+    if (!m_isOpen || m_isReading == reading)
+        return;
+    m_isReading = reading;
+    updateInterest();
+}
+
+void BufferedConnection::close()
+{
+    if (!m_isOpen)
+        return;
+    m_isOpen = false;
+    m_loop.remove(m_socket, *this);
+    m_socket.close();
+}
+
+void BufferedConnection::closeGracefully()
+{
+    if (!m_isOpen || m_isClosing)
+        return;
+    m_isClosing = true;
+    m_isReading = true;
+    updateInterest();
+    if (unsentBytes() == 0)
+        flush();
+}
+
+void BufferedConnection::onReadable()
+{
+    if (!m_isOpen || !m_isConnected)
+        return;
+    std::array<char, readBytes> buffer;
+    try {
+        const int count = m_socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+        if (count < 0)
+            return;
+        if (count == 0) {
+            fail(peerClosed);
+            return;
+        }
+        if (m_isClosing)
+            return;
+        m_input.append(buffer.data(), static_cast<std::size_t>(count));
+    } catch (const Poco::Exception &exception) {
+        fail(exception.displayText());
+        return;
+    }
+    onInput();
+}
+
+void BufferedConnection::onWritable()
+{
+    if (!m_isOpen)
+        return;
+    if (!m_isConnected) {
+        const int error = m_socket.impl()->socketError();
+        if (error != 0) {
+            fail("cannot connect, error " + std::to_string(error));
+            return;
+        }
+        m_isConnected = true;
+        onConnected();
+        if (!m_isOpen)
+            return;
+    }
+    flush();
+}
+
+void BufferedConnection::flush()
+{
+    const bool hadOutput = unsentBytes() > 0;
+    try {
+        while (unsentBytes() > 0) {
+            const int count = m_socket.sendBytes(m_output.data() + m_sent,
+                                                 static_cast<int>(unsentBytes()));
+            if (count <= 0)
+                break;
+            m_sent += static_cast<std::size_t>(count);
+        }
+    } catch (const Poco::Exception &exception) {
+        fail(exception.displayText());
+        return;
+    }
+    const bool isDrained = unsentBytes() == 0;
+    if (isDrained) {
+        m_output.clear();
+        m_sent = 0;
+    }
+    if (m_isWriting == isDrained) {
+        m_isWriting = !isDrained;
+        updateInterest();
+    }
+    if (isDrained && m_isClosing) {
+        try {
+            m_socket.shutdownSend();
+        } catch (const Poco::Exception &) {
+            // The peer has closed the connection already, which is what was wanted.
+        }
+    } else if (isDrained && hadOutput) {
+        onDrained();
+    }
+}
+
+void BufferedConnection::updateInterest()
+{
+    m_loop.update(m_socket, *this, m_isReading, m_isWriting);
+}
+
+void BufferedConnection::fail(const std::string &reason)
+{
+    close();
+    onClosed(reason);
+}
+
+} // namespace sardinehollow::gateway
--- /dev/null
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -0,0 +1,454 @@
+#include "sardinehollow_gateway/exchange/Exchange.h"
+
+#include "sardinehollow_core/hash/StableHash.h"
+#include "sardinehollow_gateway/http/MessageWriter.h"
+
+#include <Poco/Exception.h>
+#include <Poco/NumberFormatter.h>
+
+#include <algorithm>
+
+namespace sardinehollow::gateway {
+
+namespace {
+
+using Poco::Net::HTTPResponse;
+
+// Request bodies up to this size are complete before they are sent on, and can be sent again.
+constexpr std::size_t keptBodyBytes = 64 * 1024;
+// Responses up to this size are complete before they are delivered, so that a cut one can be
+// repeated or reported in place of breaking off.
+constexpr std::size_t keptResponseBytes = 512 * 1024;
+// Bytes that may wait for a slow peer before the other side is no longer read.
+constexpr std::size_t mostWaitingBytes = 256 * 1024;
+// When a refused caller may come back: about the run of one request at the present deployments.
+constexpr core::Duration retryAfter = std::chrono::milliseconds(300);
+// Less than this is not worth another attempt.
+constexpr core::Duration shortestAttempt = std::chrono::milliseconds(30);
+// Servers that cannot be reached do not count as attempts, but cost time.
+constexpr std::uint32_t mostConnectionFailures = 3;
+// A connection that was idle for longer may have been closed or forgotten by the server without
+// a sign, after which it is not known whether a request on it ran.
+constexpr core::Duration idleLimitForUnsafe = std::chrono::seconds(2);
+constexpr core::Duration idleLimitForIdempotent = std::chrono::seconds(60);
+
+int statusOf(RequestOutcome outcome)
+{
+    switch (outcome) {
+    case RequestOutcome::NoRoute:
+        return HTTPResponse::HTTP_NOT_FOUND;
+    case RequestOutcome::Malformed:
+        return HTTPResponse::HTTP_BAD_REQUEST;
+    case RequestOutcome::HeaderTooLarge:
+        return HTTPResponse::HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE;
+    case RequestOutcome::BodyTooLarge:
+        return HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE;
+    case RequestOutcome::RequestTimeout:
+        return HTTPResponse::HTTP_REQUEST_TIMEOUT;
+    case RequestOutcome::OutcomeUnknown:
+        return HTTPResponse::HTTP_BAD_GATEWAY;
+    case RequestOutcome::TimedOut:
+        return HTTPResponse::HTTP_GATEWAY_TIMEOUT;
+    default:
+        return HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
+    }
+}
+
+RetryReason toRetryReason(AttemptFailure failure)
+{
+    switch (failure) {
+    case AttemptFailure::NotConnected:
+        return RetryReason::NotConnected;
+    case AttemptFailure::Broken:
+        return RetryReason::Broken;
+    case AttemptFailure::InvalidResponse:
+        return RetryReason::InvalidResponse;
+    }
+    return RetryReason::Broken;
+}
+
+bool canHaveRun(RetryReason reason)
+{
+    return reason == RetryReason::Broken || reason == RetryReason::InvalidResponse
+            || reason == RetryReason::ServerError;
+}
+
+} // namespace
+
+Exchange::Exchange(GatewayServices &services, ResponseSink &sink, Poco::Net::HTTPRequest request,
+                   core::HttpBodyFraming framing)
+    : m_services(services)
+    , m_sink(sink)
+    , m_request(std::move(request))
+    , m_framing(framing)
+    , m_facts(services.protocol.readCallerRequest(m_request))
+    , m_startedAt(services.loop.now())
+{ }
+
+Exchange::~Exchange()
+{
+    m_services.loop.cancel(m_timer);
+    removeBackend();
+}
+
+void Exchange::start()
+{
+    m_table = m_services.routing.table();
+    if (!m_table) {
+        refuse(RequestOutcome::NoConfiguration, "no configuration has been read yet");
+        return;
+    }
+    m_route = m_table->find(m_request.get("Host", ""), m_request.getURI());
+    if (!m_route) {
+        refuse(RequestOutcome::NoRoute, "no route matches the host and path");
+        return;
+    }
+    if (m_framing.kind == core::HttpBodyFraming::Kind::Fixed
+        && m_framing.length > m_table->configuration().limits.bodyBytes) {
+        refuse(RequestOutcome::BodyTooLarge, "the body is longer than the limit");
+        return;
+    }
+    const core::Duration wait = std::min(m_facts.timeLeft.value_or(m_route->timeout),
+                                         m_route->timeout);
+    m_deadline = m_startedAt + m_facts.timeLeft.value_or(m_route->timeout);
+    m_objectHash = core::stableHash(m_facts.object.empty() ? m_facts.requestId : m_facts.object);
+    m_service = m_services.routing.startRequest(*m_route);
+    m_timer = m_services.loop.schedule(wait, [this] { onTimeout(); });
+}
+
+void Exchange::onRequestBody(std::string &&bytes)
+{
+    m_bodyBytes += bytes.size();
+    if (m_isFinished)
+        return;
+    if (m_bodyBytes > m_table->configuration().limits.bodyBytes) {
+        refuse(RequestOutcome::BodyTooLarge, "the body is longer than the limit");
+        return;
+    }
+    if (m_isBodyStreamed) {
+        sendBody(bytes);
+        return;
+    }
+    m_body += bytes;
+    if (m_body.size() <= keptBodyBytes)
+        return;
+    m_isBodyStreamed = true;
+    attempt();
+}
+
+void Exchange::onRequestEnd()
+{
+    m_isBodyWhole = true;
+    if (m_isFinished)
+        return;
+    if (m_isBodyStreamed)
+        endBody();
+    else
+        attempt();
+}
+
+void Exchange::attempt()
+{
+    const core::Instant now = m_services.loop.now();
+    const routing::Selection selection
+            = m_services.routing.select(*m_route, m_service, m_objectHash, m_tried, now);
+    m_selectionReason = selection.reason;
+    if (!selection.server) {
+        if (m_mayHaveRun) {
+            finish(RequestOutcome::OutcomeUnknown, HTTPResponse::HTTP_BAD_GATEWAY,
+                   "no other server has room");
+            return;
+        }
+        refuse(selection.reason == routing::SelectionReason::NoServer
+                       ? RequestOutcome::NoServer
+                       : RequestOutcome::Overloaded,
+               std::string(toName(selection.reason)));
+        return;
+    }
+    send(selection);
+}
+
+void Exchange::send(const routing::Selection &selection)
+{
+    const routing::BackendStatePtr &server = selection.server;
+    m_tried.insert(server->server().id);
+    try {
+        m_backend = &m_services.pool.take(
+                server, m_route->isIdempotent ? idleLimitForIdempotent : idleLimitForUnsafe);
+    } catch (const Poco::Exception &exception) {
+        endAttempt(RetryReason::NotConnected, exception.displayText());
+        return;
+    }
+    m_services.routing.onSent(*server, m_services.loop.now());
+    ++m_attempts;
+    Poco::Net::HTTPRequest request = m_request;
+    removeConnectionFields(request);
+    m_services.protocol.addressRequest(request, server->server().id, timeLeft());
+    if (m_isBodyStreamed && m_framing.kind == core::HttpBodyFraming::Kind::Chunked)
+        request.set("Transfer-Encoding", "chunked");
+    else if (m_isBodyStreamed)
+        request.set("Content-Length", std::to_string(m_framing.length));
+    else if (m_framing.kind != core::HttpBodyFraming::Kind::None)
+        request.set("Content-Length", std::to_string(m_body.size()));
+    if (m_isBodyStreamed) {
+        m_backend->start(toText(request), request.getMethod(), m_facts.requestId, *this);
+        sendBody(m_body);
+        m_body.clear();
+        return;
+    }
+    m_backend->start(toText(request) + m_body, request.getMethod(), m_facts.requestId, *this);
+    if (m_backend)
+        m_backend->finishRequest();
+}
+
+void Exchange::sendBody(std::string_view bytes)
+{
+    if (!m_backend || bytes.empty())
+        return;
+    const bool isChunked = m_framing.kind == core::HttpBodyFraming::Kind::Chunked;
+    m_backend->send(isChunked ? toChunk(bytes) : std::string(bytes));
+    if (m_backend && m_backend->unsentBytes() > mostWaitingBytes)
+        m_sink.setRequestReading(false);
+}
+
+void Exchange::endBody()
+{
+    if (!m_backend)
+        return;
+    if (m_framing.kind == core::HttpBodyFraming::Kind::Chunked)
+        m_backend->send(toChunk({}));
+    if (m_backend)
+        m_backend->finishRequest();
+}
+
+void Exchange::onRequestDrained()
+{
+    m_sink.setRequestReading(true);
+}
+
+core::Duration Exchange::timeLeft() const
+{
+    return std::max(m_deadline - m_services.loop.now(),
+                    core::Duration(std::chrono::milliseconds(1)));
+}
+
+void Exchange::onResponseHead(const HTTPResponse &response, bool hasKnownLength)
+{
+    m_response = response;
+    m_responseFacts = m_services.protocol.readBackendResponse(response);
+    m_hasKnownLength = hasKnownLength;
+    m_responseBody.clear();
+}
+
+void Exchange::onResponseBody(std::string &&bytes)
+{
+    if (m_isStreaming) {
+        m_sink.sendPart(bytes);
+        if (m_backend && m_sink.unsentResponseBytes() > mostWaitingBytes)
+            m_backend->setReading(false);
+        return;
+    }
+    m_responseBody += bytes;
+    const bool isDeliverable = m_responseFacts.isSigned && !m_responseFacts.didNotRun;
+    if (isDeliverable && m_responseBody.size() > keptResponseBytes)
+        startStreaming();
+}
+
+void Exchange::startStreaming()
+{
+    m_isStreaming = true;
+    HTTPResponse response = *m_response;
+    const std::string length = response.get("Content-Length", "");
+    removeConnectionFields(response);
+    if (m_hasKnownLength)
+        response.set("Content-Length", length);
+    m_sink.startResponse(response);
+    m_sink.sendPart(m_responseBody);
+    m_responseBody.clear();
+}
+
+void Exchange::onResponseDrained()
+{
+    if (m_backend)
+        m_backend->setReading(true);
+}
+
+void Exchange::onResponseEnd()
+{
+    const routing::BackendStatePtr server = m_backend->server();
+    m_backend = nullptr;
+    const int status = m_response->getStatus();
+    if (m_isStreaming) {
+        server->onSuccess();
+        m_sink.finishResponse();
+        finish(RequestOutcome::Delivered, status, "streamed");
+        return;
+    }
+    if (m_responseFacts.isOtherServer) {
+        endAttempt(RetryReason::OtherServer, "the address belongs to another server");
+        return;
+    }
+    if (m_responseFacts.didNotRun) {
+        endAttempt(RetryReason::NotRun, "the server shed the request");
+        return;
+    }
+    const bool isSuccess = status >= HTTPResponse::HTTP_OK
+            && status < HTTPResponse::HTTP_MULTIPLE_CHOICES;
+    if (isSuccess && (!m_responseFacts.isSigned || m_responseFacts.requestId.empty())) {
+        endAttempt(RetryReason::InvalidResponse, "the response is not signed by the server");
+        return;
+    }
+    if (status >= HTTPResponse::HTTP_INTERNAL_SERVER_ERROR && mayRetry(RetryReason::ServerError)) {
+        m_services.metrics.countRetry(RetryReason::ServerError);
+        m_mayHaveRun = true;
+        attempt();
+        return;
+    }
+    server->onSuccess();
+    deliver();
+}
+
+void Exchange::deliver()
+{
+    HTTPResponse response = *m_response;
+    const std::string length = response.get("Content-Length", "");
+    const int status = response.getStatus();
+    removeConnectionFields(response);
+    // The response to HEAD states the length of a body that it does not have.
+    if (m_request.getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD && !length.empty())
+        response.set("Content-Length", length);
+    m_sink.sendResponse(response, m_responseBody);
+    finish(RequestOutcome::Delivered, status, std::string(toName(m_selectionReason)));
+}
+
+void Exchange::onAttemptFailed(AttemptFailure failure, const std::string &detail)
+{
+    const routing::BackendStatePtr server = m_backend->server();
+    m_backend = nullptr;
+    server->onFailure(m_services.loop.now());
+    if (m_isStreaming) {
+        m_sink.abortResponse();
+        finish(RequestOutcome::ResponseCut, m_response->getStatus(), detail);
+        return;
+    }
+    if (failure != AttemptFailure::InvalidResponse)
+        m_services.pool.dropIdle(*server);
+    endAttempt(toRetryReason(failure), detail);
+}
+
+void Exchange::endAttempt(RetryReason reason, const std::string &detail)
+{
+    m_services.metrics.countRetry(reason);
+    m_mayHaveRun = m_mayHaveRun || canHaveRun(reason);
+    if (reason == RetryReason::NotConnected) {
+        ++m_connectionFailures;
+        m_attempts -= std::min(m_attempts, 1U);
+    }
+    if (mayRetry(reason))
+        attempt();
+    else
+        giveUp(reason, detail);
+}
+
+bool Exchange::mayRetry(RetryReason reason)
+{
+    const core::Instant now = m_services.loop.now();
+    const bool isAllowed = (m_route->isIdempotent || !m_mayHaveRun)
+            && (m_route->isIdempotent || !canHaveRun(reason)) && !m_isBodyStreamed
+            && m_attempts < m_route->maximumAttempts
+            && m_connectionFailures <= mostConnectionFailures
+            && m_deadline - now > shortestAttempt;
+    if (!isAllowed)
+        return false;
+    // An attempt that reached no server is not seen by any.
+    return reason == RetryReason::NotConnected || m_services.routing.takeRetry(m_service, now);
+}
+
+void Exchange::giveUp(RetryReason reason, const std::string &detail)
+{
+    if (m_mayHaveRun)
+        finish(RequestOutcome::OutcomeUnknown, HTTPResponse::HTTP_BAD_GATEWAY, detail);
+    else if (reason == RetryReason::NotConnected)
+        refuse(RequestOutcome::NoServer, detail);
+    else
+        refuse(RequestOutcome::NotRun, detail);
+}
+
+void Exchange::onTimeout()
+{
+    if (m_isStreaming)
+        return;
+    const bool wasSent = m_attempts > 0;
+    removeBackend();
+    if (!wasSent && !m_isBodyWhole) {
+        refuse(RequestOutcome::RequestTimeout, "the body did not arrive in time");
+        return;
+    }
+    finish(RequestOutcome::TimedOut, HTTPResponse::HTTP_GATEWAY_TIMEOUT, "no response in time");
+}
+
+void Exchange::cancel()
+{
+    if (m_isFinished)
+        return;
+    removeBackend();
+    finish(RequestOutcome::CallerLeft, 0, "the caller closed its connection");
+}
+
+void Exchange::refuse(RequestOutcome outcome, const std::string &detail)
+{
+    finish(outcome, statusOf(outcome), detail);
+}
+
+void Exchange::finish(RequestOutcome outcome, int status, const std::string &detail)
+{
+    if (m_isFinished)
+        return;
+    m_isFinished = true;
+    m_services.loop.cancel(m_timer);
+    const core::Instant now = m_services.loop.now();
+    m_services.metrics.countOutcome(outcome);
+    if (outcome == RequestOutcome::Delivered)
+        m_services.metrics.recordLatency(m_service, now - m_startedAt);
+    LogLine line("request");
+    line.text("id", m_facts.requestId)
+            .text("route", m_route ? m_route->name : "")
+            .text("service", m_service)
+            .number("configuration", m_table ? static_cast<std::int64_t>(
+                                             m_table->configuration().version)
+                                             : 0)
+            .text("object", m_facts.object)
+            .text("selection", toName(m_selectionReason))
+            .number("attempts", m_attempts)
+            .text("outcome", toName(outcome))
+            .number("status", status)
+            .milliseconds("ms", now - m_startedAt)
+            .text("detail", detail);
+    std::string servers;
+    for (const std::string &id : m_tried)
+        servers += (servers.empty() ? "" : " ") + id;
+    line.text("servers", servers);
+    m_services.log.request(line, now);
+    const bool isAnswered = outcome == RequestOutcome::Delivered
+            || outcome == RequestOutcome::CallerLeft || outcome == RequestOutcome::ResponseCut;
+    if (isAnswered)
+        return;
+    HTTPResponse response(static_cast<HTTPResponse::HTTPStatus>(status));
+    response.set("Content-Type", "application/problem+json");
+    if (status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE) {
+        const double seconds = std::chrono::duration<double>(retryAfter).count();
+        response.set("Retry-After", Poco::NumberFormatter::format(seconds, 1));
+    }
+    m_sink.sendResponse(response,
+                        "{\"title\":\"" + std::string(toName(outcome)) + "\"}");
+}
+
+void Exchange::removeBackend()
+{
+    if (!m_backend)
+        return;
+    m_backend->abandon();
+    m_backend = nullptr;
+}
+
+} // namespace sardinehollow::gateway
--- /dev/null
+++ b/modules/sardinehollow_gateway/exchange/Exchange.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "sardinehollow_gateway/backend/AttemptListener.h"
+#include "sardinehollow_gateway/exchange/GatewayServices.h"
+#include "sardinehollow_gateway/exchange/ResponseSink.h"
+
+#include <Poco/Net/HTTPRequest.h>
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace sardinehollow::gateway {
+
+/** One request of a caller: routing, attempts at backend servers and the response. */
+class Exchange : public AttemptListener
+{
+public:
+    Exchange(GatewayServices &services, ResponseSink &sink, Poco::Net::HTTPRequest request,
+             core::HttpBodyFraming framing);
+    ~Exchange() override;
+
+    /** Routes the request; a refusal is sent at once. */
+    void start();
+    void onRequestBody(std::string &&bytes);
+    void onRequestEnd();
+    /** The caller took what was sent to it. */
+    void onResponseDrained();
+    /** The caller left: the run at the backend server ends with its connection. */
+    void cancel();
+    /** Answers without a backend server, for example because the request is not proper. */
+    void refuse(RequestOutcome outcome, const std::string &detail);
+
+    void onResponseHead(const Poco::Net::HTTPResponse &response, bool hasKnownLength) override;
+    void onResponseBody(std::string &&bytes) override;
+    void onResponseEnd() override;
+    void onAttemptFailed(AttemptFailure failure, const std::string &detail) override;
+    void onRequestDrained() override;
+
+private:
+    void attempt();
+    void send(const routing::Selection &selection);
+    void sendBody(std::string_view bytes);
+    void endBody();
+    core::Duration timeLeft() const;
+    void onTimeout();
+    void endAttempt(RetryReason reason, const std::string &detail);
+    bool mayRetry(RetryReason reason);
+    void giveUp(RetryReason reason, const std::string &detail);
+    void startStreaming();
+    void deliver();
+    void finish(RequestOutcome outcome, int status, const std::string &detail);
+    void removeBackend();
+
+    GatewayServices &m_services;
+    ResponseSink &m_sink;
+    Poco::Net::HTTPRequest m_request;
+    const core::HttpBodyFraming m_framing;
+    CallerRequestFacts m_facts;
+    const core::Instant m_startedAt;
+    core::Instant m_deadline {0};
+    routing::RouteTablePtr m_table;
+    const routing::Route *m_route = nullptr;
+    std::string m_service;
+    std::uint64_t m_objectHash = 0;
+    EventLoop::Timer m_timer;
+
+    /** The request's body as far as it is kept; all of it unless it is streamed. */
+    std::string m_body;
+    std::uint64_t m_bodyBytes = 0;
+    bool m_isBodyWhole = false;
+    bool m_isBodyStreamed = false;
+
+    BackendConnection *m_backend = nullptr;
+    routing::SelectionReason m_selectionReason = routing::SelectionReason::NoServer;
+    std::set<std::string> m_tried;
+    std::uint32_t m_attempts = 0;
+    std::uint32_t m_connectionFailures = 0;
+    /** An attempt may have run the request. */
+    bool m_mayHaveRun = false;
+    bool m_isFinished = false;
+
+    std::optional<Poco::Net::HTTPResponse> m_response;
+    BackendResponseFacts m_responseFacts;
+    bool m_hasKnownLength = false;
+    std::string m_responseBody;
+    bool m_isStreaming = false;
+};
+
+} // namespace sardinehollow::gateway
--- /dev/null
+++ b/modules/sardinehollow_gateway/exchange/GatewayServices.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "sardinehollow_gateway/backend/BackendPool.h"
+#include "sardinehollow_gateway/http/WireProtocol.h"
+#include "sardinehollow_gateway/logging/EventLog.h"
+#include "sardinehollow_gateway/loop/EventLoop.h"
+#include "sardinehollow_gateway/status/GatewayMetrics.h"
+#include "sardinehollow_routing/state/RoutingState.h"
+
+namespace sardinehollow::gateway {
+
+/** What the handling of a request uses; lives as long as the daemon. */
+struct GatewayServices
+{
+    EventLoop &loop;
+    const WireProtocol &protocol;
+    routing::RoutingState &routing;
+    BackendPool &pool;
+    GatewayMetrics &metrics;
+    EventLog &log;
+    /** The daemon takes no new callers: connections end with the next response. */
+    bool isLeaving = false;
+};
+
+} // namespace sardinehollow::gateway
--- /dev/null
+++ b/modules/sardinehollow_gateway/http/BodyDecoder.cpp
@@ -0,0 +1,91 @@
+#include "sardinehollow_gateway/http/BodyDecoder.h"
+
+#include <Poco/NumberParser.h>
+
+#include <algorithm>
+
+namespace sardinehollow::gateway {
+
+namespace {
+
+using Kind = core::HttpBodyFraming::Kind;
+
+constexpr std::size_t longestLine = 4096;
+constexpr std::size_t longestChunkSize = 12; // hexadecimal digits
+
+} // namespace
+
+BodyDecoder::BodyDecoder(core::HttpBodyFraming framing)
+    : m_framing(framing)
+    , m_left(framing.length)
+{ }
+
+BodyDecoder::Status BodyDecoder::decode(std::string &buffer, std::string &body)
+{
+    switch (m_framing.kind) {
+    case Kind::None:
+        return Status::Done;
+    case Kind::Fixed:
+        return decodeFixed(buffer, body);
+    case Kind::Chunked:
+        return decodeChunked(buffer, body);
+    case Kind::UntilClose:
+        body += buffer;
+        buffer.clear();
+        return Status::NeedsMore;
+    case Kind::Malformed:
+        return Status::Malformed;
+    }
+    return Status::Malformed;
+}
+
+BodyDecoder::Status BodyDecoder::decodeFixed(std::string &buffer, std::string &body)
+{
+    const std::size_t count = std::min<std::uint64_t>(buffer.size(), m_left);
+    body.append(buffer, 0, count);
+    buffer.erase(0, count);
+    m_left -= count;
+    return m_left == 0 ? Status::Done : Status::NeedsMore;
+}
+
+BodyDecoder::Status BodyDecoder::decodeChunked(std::string &buffer, std::string &body)
+{
+    while (!buffer.empty()) {
+        if (m_part == Part::ChunkData) {
+            if (decodeFixed(buffer, body) == Status::NeedsMore)
+                return Status::NeedsMore;
+            m_part = Part::ChunkEnd;
+            continue;
+        }
+        const std::size_t end = buffer.find("\r\n");
+        if (end == std::string::npos)
+            return buffer.size() > longestLine ? Status::Malformed : Status::NeedsMore;
+        const std::string line = buffer.substr(0, end);
+        buffer.erase(0, end + 2);
+        if (m_part == Part::ChunkEnd) {
+            if (!line.empty())
+                return Status::Malformed;
+            m_part = Part::ChunkSize;
+        } else if (m_part == Part::ChunkSize) {
+            if (!readChunkSize(line))
+                return Status::Malformed;
+            m_part = m_left == 0 ? Part::Trailer : Part::ChunkData;
+        } else if (line.empty()) {
+            return Status::Done;
+        }
+    }
+    return Status::NeedsMore;
+}
+
+bool BodyDecoder::readChunkSize(const std::string &line)
+{
+    const std::string digits = line.substr(0, line.find_first_of("; \t"));
+    Poco::UInt64 size = 0;
+    const bool isNumber = !digits.empty() && digits.size() <= longestChunkSize
+            && digits.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos
+            && Poco::NumberParser::tryParseHex64(digits, size);
+    m_left = size;
+    return isNumber;
+}
+
+} // namespace sardinehollow::gateway
--- /dev/null
+++ b/modules/sardinehollow_gateway/http/BodyDecoder.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "sardinehollow_core/http/HttpBodyFraming.h"
+
+#include <cstdint>
+#include <string>
+
+namespace sardinehollow::gateway {
+
+/** Takes the body of a message from a buffer as it arrives. */
+class BodyDecoder
+{
+public:
+    enum class Status {
+        NeedsMore,
+        Done,
+        Malformed,
+    };
+
+    explicit BodyDecoder(core::HttpBodyFraming framing);
+
+    /** Moves what belongs to the body from the front of the buffer to the end of the body. */
+    Status decode(std::string &buffer, std::string &body);
+    const core::HttpBodyFraming &framing() const { return m_framing; }
+
+private:
+    enum class Part {
+        ChunkSize,
+        ChunkData,
+        ChunkEnd,
+        Trailer,
+    };
+
+    Status decodeFixed(std::string &buffer, std::string &body);
+    Status decodeChunked(std::string &buffer, std::string &body);
+    bool readChunkSize(const std::string &line);
+
+    const core::HttpBodyFraming m_framing;
+    /** Bytes left of the body (Fixed) or of the current chunk (Chunked). */
+    std::uint64_t m_left = 0;
+    Part m_part = Part::ChunkSize;
+};
+
+} // namespace sardinehollow::gateway
--- /dev/null
+++ b/modules/sardinehollow_gateway/http/HeadReader.cpp
@@ -0,0 +1,135 @@
+#include "sardinehollow_gateway/http/HeadReader.h"
+
+#include <Poco/NumberParser.h>
+
+#include <algorithm>
+#include <string_view>
+
+namespace sardinehollow::gateway {
+
+namespace {
+
+constexpr std::string_view lineEnd = "\r\n";
+constexpr std::string_view headEnd = "\r\n\r\n";
+constexpr std::string_view tokenMarks = "!#$%&'*+-.^_`|~";
+
+bool isToken(std::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), [](char character) {
+        return std::isalnum(static_cast<unsigned char>(character)) != 0
+                || tokenMarks.find(character) != std::string_view::npos;
+    });
+}
+
+// Bare line ends and other control characters are read differently by different programs.
+bool isText(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(), [](char character) {
+        const auto byte = static_cast<unsigned char>(character);
+        return byte == '\t' || (byte >= 0x20 && byte != 0x7f);
+    });
+}
+
+std::string_view trim(std::string_view text)
+{
+    const std::size_t first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+std::string_view takeLine(std::string_view &text)
+{
+    const std::size_t end = text.find(lineEnd);
+    const std::string_view line = text.substr(0, end);
+    text.remove_prefix(end == std::string_view::npos ? text.size() : end + lineEnd.size());
+    return line;
+}
+
+// A folded line begins with white space, so that its name is no token.
+bool readFields(std::string_view text, Poco::Net::MessageHeader &header)
+{
+    while (!text.empty()) {
+        const std::string_view line = takeLine(text);
+        const std::size_t colon = line.find(':');
+        if (colon == std::string_view::npos || !isToken(line.substr(0, colon)) || !isText(line))
+            return false;
+        header.add(std::string(line.substr(0, colon)),
+                   std::string(trim(line.substr(colon + 1))));
+    }
+    return true;
+}
+
+bool isVersion(std::string_view text)
+{
+    return text == "HTTP/1.1" || text == "HTTP/1.0";
+}
+
+bool readRequestLine(std::string_view line, Poco::Net::HTTPRequest &request)
+{
+    const std::size_t first = line.find(' ');
+    const std::size_t last = line.rfind(' ');
+    if (first == std::string_view::npos || last == first)
+        return false;
+    const std::string_view method = line.substr(0, first);
+    const std::string_view target = line.substr(first + 1, last - first - 1);
+    const std::string_view version = line.substr(last + 1);
+    const bool isValid = isToken(method) && !target.empty() && target.front() == '/'
+            && target.find(' ') == std::string_view::npos && isText(target) && isVersion(version);
+    if (!isValid)
+        return false;
+    request.setMethod(std::string(method));
+    request.setURI(std::string(target));
+    request.setVersion(std::string(version));
+    return true;
+}
+
+bool readStatusLine(std::string_view line, Poco::Net::HTTPResponse &response)
+{
+    constexpr std::size_t statusPosition = 9;
+    constexpr std::size_t statusDigits = 3;
+    if (line.size() < statusPosition + statusDigits || !isVersion(line.substr(0, 8))
+        || line[statusPosition - 1] != ' ')
+        return false;
+    unsigned status = 0;
+    const std::string digits(line.substr(statusPosition, statusDigits));
+    if (!Poco::NumberParser::tryParseUnsigned(digits, status) || status < 100)
+        return false;
+    response.setVersion(std::string(line.substr(0, 8)));
+    response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+    const std::size_t reason = statusPosition + statusDigits + 1;
+    response.setReason(line.size() > reason ? std::string(line.substr(reason)) : std::string());
+    return isText(line);
+}
+
+template <typename Message, typename ReadFirstLine>
+HeadStatus readMessage(std::string &buffer, std::size_t limit, Message &message,
+                       ReadFirstLine readFirstLine)
+{
+    // Empty lines before a message are left over from clumsy senders (RFC 9112, 2.2).
+    while (buffer.compare(0, lineEnd.size(), lineEnd) == 0)
+        buffer.erase(0, lineEnd.size());
+    const std::size_t end = buffer.find(headEnd);
+    if (end == std::string::npos)
+        return buffer.size() > limit ? HeadStatus::TooLarge : HeadStatus::Incomplete;
+    if (end > limit)
+        return HeadStatus::TooLarge;
+    std::string_view text(buffer.data(), end);
+    const bool isValid = readFirstLine(takeLine(text), message) && readFields(text, message);
+    buffer.erase(0, end + headEnd.size());
+    return isValid ? HeadStatus::Complete : HeadStatus::Malformed;
+}
+
+} // namespace
+
+HeadStatus readHead(std::string &buffer, std::size_t limit, Poco::Net::HTTPRequest &request)
+{
+    return readMessage(buffer, limit, request, readRequestLine);
+}
+
+HeadStatus readHead(std::string &buffer, std::size_t limit, Poco::Net::HTTPResponse &response)
+{
+    return readMessage(buffer, limit, response, readStatusLine);
+}
+
+} // namespace sardinehollow::gateway
--- /dev/null
+++ b/modules/sardinehollow_gateway/http/MessageWriter.cpp
@@ -0,0 +1,66 @@
+#include "sardinehollow_gateway/http/MessageWriter.h"
+
+#include <Poco/NumberFormatter.h>
+#include <Poco/String.h>
+#include <Poco/StringTokenizer.h>
+
+#include <array>
+
+namespace sardinehollow::gateway {
+
+namespace {
+
+constexpr std::array connectionFields {"Connection",       "Keep-Alive", "Proxy-Connection",
+                                       "TE",               "Trailer",    "Transfer-Encoding",
+                                       "Upgrade",          "Expect",     "Content-Length",
+                                       "Proxy-Authenticate"};
+
+void appendFields(std::string &text, const Poco::Net::MessageHeader &header)
+{
+    for (const auto &[name, value] : header) {
+        text += name;
+        text += ": ";
+        text += value;
+        text += "\r\n";
+    }
+    text += "\r\n";
+}
+
+} // namespace
+
+void removeConnectionFields(Poco::Net::MessageHeader &header)
+{
+    const Poco::StringTokenizer named(header.get("Connection", ""), ",",
+                                      Poco::StringTokenizer::TOK_TRIM
+                                              | Poco::StringTokenizer::TOK_IGNORE_EMPTY);
+    for (const std::string &name : named)
+        header.erase(name);
+    for (const char *name : connectionFields)
+        header.erase(name);
+}
+
+std::string toText(const Poco::Net::HTTPRequest &request)
+{
+    std::string text = request.getMethod() + " " + request.getURI() + " HTTP/1.1\r\n";
+    appendFields(text, request);
+    return text;
+}
+
+std::string toText(const Poco::Net::HTTPResponse &response)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(static_cast<int>(response.getStatus())) + " "
+            + response.getReason() + "\r\n";
+    appendFields(text, response);
+    return text;
+}
+
+std::string toChunk(std::string_view bytes)
+{
+    std::string chunk = Poco::NumberFormatter::formatHex(static_cast<Poco::UInt64>(bytes.size()));
+    chunk += "\r\n";
+    chunk += bytes;
+    chunk += "\r\n";
+    return chunk;
+}
+
+} // namespace sardinehollow::gateway
--- /dev/null
+++ b/modules/sardinehollow_gateway/logging/LogLine.cpp
@@ -0,0 +1,52 @@
+#include "sardinehollow_gateway/logging/LogLine.h"
+
+namespace sardinehollow::gateway {
+
+namespace {
+
+// Bytes outside printable ASCII, which callers can put into paths, would make the line invalid.
+void appendQuoted(std::string &text, std::string_view value)
+{
+    text += '"';
+    for (const char character : value) {
+        const bool isPlain = character >= 0x20 && character < 0x7f && character != '"'
+                && character != '\\';
+        text += isPlain ? character : '?';
+    }
+    text += '"';
+}
+
+} // namespace
+
+LogLine::LogLine(std::string_view event)
+{
+    text("event", event);
+}
+
+LogLine &LogLine::text(std::string_view name, std::string_view value)
+{
+    addName(name);
+    appendQuoted(m_fields, value);
+    return *this;
+}
+
+LogLine &LogLine::number(std::string_view name, std::int64_t value)
+{
+    addName(name);
+    m_fields += std::to_string(value);
+    return *this;
+}
+
+LogLine &LogLine::milliseconds(std::string_view name, core::Duration value)
+{
+    return number(name, std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
+void LogLine::addName(std::string_view name)
+{
+    m_fields += m_fields.empty() ? '{' : ',';
+    appendQuoted(m_fields, name);
+    m_fields += ':';
+}
+
+} // namespace sardinehollow::gateway
--- /dev/null
+++ b/modules/sardinehollow_gateway/logging/LogLine.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "sardinehollow_core/time/Instant.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace sardinehollow::gateway {
+
+/** Builds one structured log line: a JSON object with an event name and fields. */
+class LogLine
+{
+public:
+    explicit LogLine(std::string_view event);
+
+    LogLine &text(std::string_view name, std::string_view value);
+    LogLine &number(std::string_view name, std::int64_t value);
+    /** Adds a duration in milliseconds. */
+    LogLine &milliseconds(std::string_view name, core::Duration value);
+
+    /** Returns the object without its closing brace, so that a time stamp can be added. */
+    const std::string &fields() const { return m_fields; }
+
+private:
+    void addName(std::string_view name);
+
+    std::string m_fields;
+};
+
+} // namespace sardinehollow::gateway
--- /dev/null
+++ b/modules/sardinehollow_gateway/loop/EventLoop.cpp
@@ -0,0 +1,186 @@
+#include "sardinehollow_gateway/loop/EventLoop.h"
+
+#include <Poco/Exception.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+namespace sardinehollow::gateway {
+
+namespace {
+
+constexpr int eventsPerTurn = 256;
+constexpr int longestWaitMilliseconds = 60'000;
+
+epoll_event *eventsIn(std::vector<char> &storage)
+{
+    return reinterpret_cast<epoll_event *>(storage.data());
+}
+
+} // namespace
+
+EventLoop::EventLoop(const core::MonotonicClock &clock)
+    : m_clock(clock)
+    , m_now(clock.now())
+    , m_poll(epoll_create1(EPOLL_CLOEXEC))
+    , m_wakeUp(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
+    , m_events(sizeof(epoll_event) * eventsPerTurn)
+{
+    epoll_event event {};
+    event.events = EPOLLIN;
+    event.data.ptr = nullptr;
+    if (m_poll < 0 || m_wakeUp < 0 || epoll_ctl(m_poll, EPOLL_CTL_ADD, m_wakeUp, &event) != 0)
+        throw Poco::SystemException("cannot create the event loop; raise the descriptor limit");
+}
+
+EventLoop::~EventLoop()
+{
+    close(m_wakeUp);
+    close(m_poll);
+}
+
+void EventLoop::add(const Poco::Net::Socket &socket, SocketHandler &handler, bool read, bool write)
+{
+    control(EPOLL_CTL_ADD, socket, &handler, read, write);
+}
+
+void EventLoop::update(const Poco::Net::Socket &socket, SocketHandler &handler, bool read,
+                       bool write)
+{
+    control(EPOLL_CTL_MOD, socket, &handler, read, write);
+}
+
+void EventLoop::remove(const Poco::Net::Socket &socket, SocketHandler &handler)
+{
+    control(EPOLL_CTL_DEL, socket, &handler, false, false);
+    // Events of this turn that were fetched before the removal are skipped.
+    m_removed.push_back(&handler);
+}
+
+void EventLoop::control(int operation, const Poco::Net::Socket &socket, SocketHandler *handler,
+                        bool read, bool write)
+{
+    epoll_event event {};
+    event.events = (read ? EPOLLIN : 0U) | (write ? EPOLLOUT : 0U);
+    event.data.ptr = handler;
+    if (epoll_ctl(m_poll, operation, socket.impl()->sockfd(), &event) != 0)
+        throw Poco::SystemException("cannot watch a socket", errno);
+}
+
+EventLoop::Timer EventLoop::schedule(core::Duration delay, Task task)
+{
+    const Timer timer {m_now + delay, ++m_nextTimer};
+    m_timers.emplace(timer, std::move(task));
+    return timer;
+}
+
+void EventLoop::cancel(const Timer &timer)
+{
+    m_timers.erase(timer);
+}
+
+void EventLoop::defer(Task task)
+{
+    m_deferred.push_back(std::move(task));
+}
+
+void EventLoop::post(Task task)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_posted.push_back(std::move(task));
+    }
+    wake();
+}
+
+void EventLoop::stop()
+{
+    m_stopping = true;
+    wake();
+}
+
+void EventLoop::wake()
+{
+    const std::uint64_t one = 1;
+    // A full counter wakes the loop as well, so that a failed write needs no answer.
+    [[maybe_unused]] const ssize_t written = write(m_wakeUp, &one, sizeof one);
+}
+
+void EventLoop::run()
+{
+    while (!m_stopping) {
+        m_removed.clear();
+        const int count = epoll_wait(m_poll, eventsIn(m_events), eventsPerTurn, waitMilliseconds());
+        m_now = m_clock.now();
+        if (count > 0)
+            dispatch(count);
+        runPosted();
+        runTimers();
+        runDeferred();
+    }
+}
+
+int EventLoop::waitMilliseconds() const
+{
+    if (!m_deferred.empty())
+        return 0;
+    if (m_timers.empty())
+        return longestWaitMilliseconds;
+    const core::Duration left = m_timers.begin()->first.first - m_clock.now();
+    const auto milliseconds = std::chrono::ceil<std::chrono::milliseconds>(left).count();
+    return static_cast<int>(std::clamp<std::int64_t>(milliseconds, 0, longestWaitMilliseconds));
+}
+
+void EventLoop::dispatch(int count)
+{
+    for (int index = 0; index < count; ++index) {
+        const epoll_event event = eventsIn(m_events)[index];
+        auto *handler = static_cast<SocketHandler *>(event.data.ptr);
+        if (!handler) {
+            std::uint64_t ignored = 0;
+            [[maybe_unused]] const ssize_t drained = read(m_wakeUp, &ignored, sizeof ignored);
+            continue;
+        }
+        const auto isRemoved = [&] {
+            return std::find(m_removed.begin(), m_removed.end(), handler) != m_removed.end();
+        };
+        if ((event.events & (EPOLLOUT | EPOLLERR | EPOLLHUP)) != 0 && !isRemoved())
+            handler->onWritable();
+        if ((event.events & (EPOLLIN | EPOLLERR | EPOLLHUP)) != 0 && !isRemoved())
+            handler->onReadable();
+    }
+}
+
+void EventLoop::runTimers()
+{
+    while (!m_timers.empty() && m_timers.begin()->first.first <= m_now) {
+        const Task task = std::move(m_timers.begin()->second);
+        m_timers.erase(m_timers.begin());
+        task();
+    }
+}
+
+void EventLoop::runDeferred()
+{
+    // Tasks that these tasks defer run in the next turn, so that sockets are not starved.
+    std::vector<Task> tasks;
+    tasks.swap(m_deferred);
+    for (const Task &task : tasks)
+        task();
+}
+
+void EventLoop::runPosted()
+{
+    std::vector<Task> tasks;
+    {
+        const std::lock_guard lock(m_mutex);
+        tasks.swap(m_posted);
+    }
+    for (const Task &task : tasks)
+        task();
+}
+
+} // namespace sardinehollow::gateway
--- /dev/null
+++ b/modules/sardinehollow_gateway/loop/EventLoop.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "sardinehollow_core/time/MonotonicClock.h"
+#include "sardinehollow_gateway/loop/SocketHandler.h"
+
+#include <Poco/Net/Socket.h>
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace sardinehollow::gateway {
+
+/**
+ * Waits for sockets and timers on one thread. All calls but post() and stop() belong to that
+ * thread. Handlers and timers may be removed at any time, also by each other.
+ */
+class EventLoop
+{
+public:
+    using Task = std::function<void()>;
+    /** Names a scheduled timer: its time and a number that orders equal times. */
+    using Timer = std::pair<core::Instant, std::uint64_t>;
+
+    explicit EventLoop(const core::MonotonicClock &clock);
+    ~EventLoop();
+
+    EventLoop(const EventLoop &) = delete;
+    EventLoop &operator=(const EventLoop &) = delete;
+
+    /** Time at the start of the current turn. */
+    core::Instant now() const { return m_now; }
+
+    void add(const Poco::Net::Socket &socket, SocketHandler &handler, bool read, bool write);
+    void update(const Poco::Net::Socket &socket, SocketHandler &handler, bool read, bool write);
+    void remove(const Poco::Net::Socket &socket, SocketHandler &handler);
+
+    Timer schedule(core::Duration delay, Task task);
+    /** A timer that has run or was cancelled already is ignored. */
+    void cancel(const Timer &timer);
+    /** Runs the task at the end of the current turn. */
+    void defer(Task task);
+
+    /** Runs the task on the loop's thread; may be called from any thread. */
+    void post(Task task);
+    /** Ends run(); may be called from any thread and from a signal handler. */
+    void stop();
+    void run();
+
+private:
+    void control(int operation, const Poco::Net::Socket &socket, SocketHandler *handler, bool read,
+                 bool write);
+    int waitMilliseconds() const;
+    void dispatch(int count);
+    void runTimers();
+    void runDeferred();
+    void runPosted();
+    void wake();
+
+    const core::MonotonicClock &m_clock;
+    core::Instant m_now;
+    int m_poll = -1;
+    int m_wakeUp = -1;
+    std::atomic<bool> m_stopping {false};
+    std::vector<char> m_events;
+    /** Handlers that were removed during the current turn. */
+    std::vector<SocketHandler *> m_removed;
+    std::map<Timer, Task> m_timers;
+    std::uint64_t m_nextTimer = 0;
+    std::vector<Task> m_deferred;
+    std::mutex m_mutex;
+    std::vector<Task> m_posted;
+};
+
+} // namespace sardinehollow::gateway
--- /dev/null
+++ b/modules/sardinehollow_gateway/query/QueryConnection.cpp
@@ -0,0 +1,86 @@
+#include "sardinehollow_gateway/query/QueryConnection.h"
+
+#include "sardinehollow_gateway/http/HeadReader.h"
+#include "sardinehollow_gateway/http/MessageWriter.h"
+
+#include <Poco/String.h>
+
+namespace sardinehollow::gateway {
+
+namespace {
+
+constexpr std::size_t longestHead = 16 * 1024;
+constexpr core::Duration idleLimit = std::chrono::seconds(30);
+
+} // namespace
+
+QueryConnection::QueryConnection(EventLoop &eventLoop, const Poco::Net::StreamSocket &socket,
+                                 QueryListener &listener)
+    : BufferedConnection(eventLoop, socket)
+    , m_listener(listener)
+{
+    armTimer();
+}
+
+QueryConnection::~QueryConnection()
+{
+    loop().cancel(m_timer);
+}
+
+void QueryConnection::armTimer()
+{
+    loop().cancel(m_timer);
+    m_timer = loop().schedule(idleLimit, [this] {
+        close();
+        end();
+    });
+}
+
+void QueryConnection::onInput()
+{
+    armTimer();
+    while (isOpen() && !input().empty()) {
+        Poco::Net::HTTPRequest request;
+        const HeadStatus status = readHead(input(), longestHead, request);
+        if (status == HeadStatus::Incomplete)
+            return;
+        if (status != HeadStatus::Complete) {
+            close();
+            end();
+            return;
+        }
+        answer(request);
+    }
+}
+
+void QueryConnection::answer(const Poco::Net::HTTPRequest &request)
+{
+    const QueryListener::Answer answer = m_listener.m_handler(request);
+    Poco::Net::HTTPResponse response(
+            static_cast<Poco::Net::HTTPResponse::HTTPStatus>(answer.status));
+    if (!answer.contentType.empty())
+        response.set("Content-Type", answer.contentType);
+    response.set("Content-Length", std::to_string(answer.body.size()));
+    const bool isLast = Poco::icompare(request.get("Connection", ""), "close") == 0
+            || request.getVersion() != Poco::Net::HTTPMessage::HTTP_1_1;
+    if (isLast)
+        response.set("Connection", "close");
+    send(toText(response) + answer.body);
+    if (isLast)
+        closeGracefully();
+}
+
+void QueryConnection::onClosed(const std::string & /*reason*/)
+{
+    end();
+}
+
+void QueryConnection::end()
+{
+    if (m_isEnded)
+        return;
+    m_isEnded = true;
+    m_listener.remove(*this);
+}
+
+} // namespace sardinehollow::gateway
--- /dev/null
+++ b/modules/sardinehollow_gateway/query/QueryConnection.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "sardinehollow_gateway/connection/BufferedConnection.h"
+#include "sardinehollow_gateway/query/QueryListener.h"
+
+namespace sardinehollow::gateway {
+
+/** A connection to a query listener. */
+class QueryConnection : public BufferedConnection
+{
+public:
+    QueryConnection(EventLoop &loop, const Poco::Net::StreamSocket &socket,
+                    QueryListener &listener);
+    ~QueryConnection() override;
+
+protected:
+    void onInput() override;
+    void onClosed(const std::string &reason) override;
+
+private:
+    void answer(const Poco::Net::HTTPRequest &request);
+    void armTimer();
+    void end();
+
+    QueryListener &m_listener;
+    EventLoop::Timer m_timer;
+    bool m_isEnded = false;
+};
+
+} // namespace sardinehollow::gateway
--- /dev/null
+++ b/modules/sardinehollow_gateway/query/QueryListener.cpp
@@ -0,0 +1,29 @@
+#include "sardinehollow_gateway/query/QueryListener.h"
+
+#include "sardinehollow_gateway/query/QueryConnection.h"
+
+namespace sardinehollow::gateway {
+
+QueryListener::QueryListener(EventLoop &loop, const std::string &address, Handler handler)
+    : m_loop(loop)
+    , m_handler(std::move(handler))
+    , m_listener(loop, address,
+                 [this](const Poco::Net::StreamSocket &socket) { accept(socket); })
+{ }
+
+QueryListener::~QueryListener() = default;
+
+void QueryListener::accept(const Poco::Net::StreamSocket &socket)
+{
+    auto connection = std::make_unique<QueryConnection>(m_loop, socket, *this);
+    QueryConnection *key = connection.get();
+    m_connections.emplace(key, std::move(connection));
+}
+
+void QueryListener::remove(QueryConnection &connection)
+{
+    // The connection is still on the call stack.
+    m_loop.defer([this, &connection] { m_connections.erase(&connection); });
+}
+
+} // namespace sardinehollow::gateway
--- /dev/null
+++ b/modules/sardinehollow_gateway/status/GatewayMetrics.cpp
@@ -0,0 +1,39 @@
+#include "sardinehollow_gateway/status/GatewayMetrics.h"
+
+#include "sardinehollow_metrics/LatencyHistogram.h"
+#include "sardinehollow_metrics/PrometheusWriter.h"
+
+namespace sardinehollow::gateway {
+
+GatewayMetrics::GatewayMetrics() = default;
+GatewayMetrics::~GatewayMetrics() = default;
+
+void GatewayMetrics::recordLatency(const std::string &service, core::Duration latency)
+{
+    std::unique_ptr<metrics::LatencyHistogram> &histogram = m_latencies[service];
+    if (!histogram)
+        histogram = std::make_unique<metrics::LatencyHistogram>();
+    histogram->record(latency);
+}
+
+std::string GatewayMetrics::prometheusText() const
+{
+    metrics::PrometheusWriter writer;
+    writer.family("requests_total", "Requests by how they ended.", "counter");
+    for (std::size_t index = 0; index < requestOutcomeCount; ++index)
+        writer.sample("requests_total", {{"outcome", toName(static_cast<RequestOutcome>(index))}},
+                      std::to_string(m_outcomes[index]));
+    writer.family("attempts_failed_total", "Attempts at a backend server that settled nothing.",
+                  "counter");
+    for (std::size_t index = 0; index < retryReasonCount; ++index)
+        writer.sample("attempts_failed_total",
+                      {{"reason", toName(static_cast<RetryReason>(index))}},
+                      std::to_string(m_retries[index]));
+    writer.family("request_seconds", "Time from arrival to the response.", "histogram");
+    for (const auto &[service, histogram] : m_latencies)
+        histogram->appendTo(writer.text(),
+                            metrics::PrometheusWriter::labelText({{"service", service}}));
+    return writer.text();
+}
+
+} // namespace sardinehollow::gateway
--- /dev/null
+++ b/modules/sardinehollow_gateway/status/GatewayMetrics.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "sardinehollow_core/time/Instant.h"
+#include "sardinehollow_gateway/status/RequestOutcome.h"
+#include "sardinehollow_gateway/status/RetryReason.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace sardinehollow::metrics {
+class LatencyHistogram;
+}
+
+namespace sardinehollow::gateway {
+
+/** Counters and latencies of requests. Not safe for concurrent use. */
+class GatewayMetrics
+{
+public:
+    GatewayMetrics();
+    ~GatewayMetrics();
+
+    void countOutcome(RequestOutcome outcome) { ++m_outcomes[static_cast<std::size_t>(outcome)]; }
+    void countRetry(RetryReason reason) { ++m_retries[static_cast<std::size_t>(reason)]; }
+    void recordLatency(const std::string &service, core::Duration latency);
+    std::uint64_t outcomes(RequestOutcome outcome) const
+    {
+        return m_outcomes[static_cast<std::size_t>(outcome)];
+    }
+
+    /** Returns all values in the text format of Prometheus. */
+    std::string prometheusText() const;
+
+private:
+    std::array<std::uint64_t, requestOutcomeCount> m_outcomes {};
+    std::array<std::uint64_t, retryReasonCount> m_retries {};
+    std::map<std::string, std::unique_ptr<metrics::LatencyHistogram>> m_latencies;
+};
+
+} // namespace sardinehollow::gateway
--- a/modules/sardinehollow_entry/metrics/LatencyHistogram.cpp
+++ b/modules/sardinehollow_metrics/LatencyHistogram.cpp
@@ -1,8 +1,8 @@
-#include "sardinehollow_entry/metrics/LatencyHistogram.h"
+#include "sardinehollow_metrics/LatencyHistogram.h"
 
 #include <boost/histogram.hpp>
 
-namespace sardinehollow::entry {
+namespace sardinehollow::metrics {
 
 namespace {
 
@@ -54,4 +54,4 @@
     text += name + "_count{" + labels + "} " + count + "\n";
 }
 
-} // namespace sardinehollow::entry
+} // namespace sardinehollow::metrics
--- a/modules/sardinehollow_entry/metrics/LatencyHistogram.h
+++ b/modules/sardinehollow_metrics/LatencyHistogram.h
@@ -5,7 +5,7 @@
 #include <memory>
 #include <string>
 
-namespace sardinehollow::entry {
+namespace sardinehollow::metrics {
 
 /** Latencies of one label set from 0.1 ms to 1000 s. Not safe for concurrent use. */
 class LatencyHistogram
@@ -24,4 +24,4 @@
     std::unique_ptr<Storage> m_storage;
 };
 
-} // namespace sardinehollow::entry
+} // namespace sardinehollow::metrics
--- a/modules/sardinehollow_entry/metrics/PrometheusWriter.cpp
+++ b/modules/sardinehollow_metrics/PrometheusWriter.cpp
@@ -1,6 +1,6 @@
-#include "sardinehollow_entry/metrics/PrometheusWriter.h"
+#include "sardinehollow_metrics/PrometheusWriter.h"
 
-namespace sardinehollow::entry {
+namespace sardinehollow::metrics {
 
 namespace {
 
@@ -49,4 +49,4 @@
     return text;
 }
 
-} // namespace sardinehollow::entry
+} // namespace sardinehollow::metrics
--- a/modules/sardinehollow_entry/metrics/PrometheusWriter.h
+++ b/modules/sardinehollow_metrics/PrometheusWriter.h
@@ -5,7 +5,7 @@
 #include <utility>
 #include <vector>
 
-namespace sardinehollow::entry {
+namespace sardinehollow::metrics {
 
 /** Writes the text format of Prometheus; names get the common prefix. */
 class PrometheusWriter
@@ -26,4 +26,4 @@
     std::string m_text;
 };
 
-} // namespace sardinehollow::entry
+} // namespace sardinehollow::metrics
--- a/modules/sardinehollow_platform/etcd/EtcdJson.cpp
+++ b/modules/sardinehollow_platform/etcd/EtcdJson.cpp
@@ -119,6 +119,7 @@
         if (entry.isNull())
             continue;
         result.push_back(toKeyValue(*entry));
+        result.back().isDeleted = event->optValue<std::string>("type", "PUT") == "DELETE";
     }
     return result;
 }
--- a/modules/sardinehollow_platform/http/JsonClient.cpp
+++ b/modules/sardinehollow_platform/http/JsonClient.cpp
@@ -67,25 +67,44 @@
 
 core::Result<Object::Ptr> JsonClient::post(const std::string &path, const Object &body)
 {
-    std::ostringstream text;
-    body.stringify(text);
-    const std::string bytes = text.str();
-    HTTPRequest request(HTTPRequest::HTTP_POST, path, HTTPRequest::HTTP_1_1);
-    request.setContentType("application/json");
-    request.setContentLength64(static_cast<Poco::Int64>(bytes.size()));
-    return call(request, bytes);
+    const Object::Ptr copy = new Object(body);
+    return requireSuccess(path, send(HTTPRequest::HTTP_POST, path, copy));
 }
 
 core::Result<Object::Ptr> JsonClient::get(const std::string &path)
 {
-    HTTPRequest request(HTTPRequest::HTTP_GET, path, HTTPRequest::HTTP_1_1);
-    return call(request, {});
+    return requireSuccess(path, send(HTTPRequest::HTTP_GET, path, nullptr));
+}
+
+core::Result<Object::Ptr> JsonClient::requireSuccess(const std::string &path,
+                                                     core::Result<JsonAnswer> answer) const
+{
+    if (!answer)
+        return tl::unexpected<core::Error>(answer.error());
+    if (answer->status != HTTPResponse::HTTP_OK) {
+        return tl::unexpected<core::Error>(
+                error(kindOfRefusal(answer->status, answer->text), path,
+                      "status " + std::to_string(answer->status) + ": " + answer->text));
+    }
+    if (answer->body.isNull()) {
+        return tl::unexpected<core::Error>(
+                error(core::ErrorKind::ResultUnknown, path, "the answer is no JSON object"));
+    }
+    return answer->body;
 }
 
-core::Result<Object::Ptr> JsonClient::call(HTTPRequest &request, const std::string &body)
+core::Result<JsonAnswer> JsonClient::send(const std::string &method, const std::string &path,
+                                          const Object::Ptr &body, core::Duration wait)
 {
-    const core::Instant deadline = core::SystemClock().now() + m_timeout;
+    const core::Instant deadline = core::SystemClock().now() + m_timeout + wait;
+    HTTPRequest request(method, path, HTTPRequest::HTTP_1_1);
     request.setHost(m_address);
+    std::ostringstream text;
+    if (!body.isNull()) {
+        body->stringify(text);
+        request.setContentType("application/json");
+        request.setContentLength64(static_cast<Poco::Int64>(text.str().size()));
+    }
     ConnectionPtr connection = takeIdle();
     if (!connection) {
         try {
@@ -93,24 +112,34 @@
                                                                 m_timeout);
         } catch (const Poco::Exception &exception) {
             return tl::unexpected<core::Error>(
-                    error(core::ErrorKind::Unreachable, request.getURI(), exception.displayText()));
+                    error(core::ErrorKind::Unreachable, path, exception.displayText()));
         }
     }
+    core::HttpConnection &active = *connection;
+    if (!enter(active)) {
+        return tl::unexpected<core::Error>(
+                error(core::ErrorKind::Unreachable, path, "the client was stopped"));
+    }
+    std::string failure;
     try {
-        return exchange(std::move(connection), request, body, deadline);
+        JsonAnswer answer = exchange(connection, request, text.str(), deadline);
+        leave(active);
+        if (connection)
+            giveBack(std::move(connection));
+        return answer;
     } catch (const Poco::TimeoutException &exception) {
         // One silent connection suggests that the others of its age are silent too.
         dropIdle();
-        return tl::unexpected<core::Error>(
-                error(core::ErrorKind::ResultUnknown, request.getURI(), exception.displayText()));
+        failure = exception.displayText();
     } catch (const Poco::Exception &exception) {
-        return tl::unexpected<core::Error>(
-                error(core::ErrorKind::ResultUnknown, request.getURI(), exception.displayText()));
+        failure = exception.displayText();
     }
+    leave(active);
+    return tl::unexpected<core::Error>(error(core::ErrorKind::ResultUnknown, path, failure));
 }
 
-core::Result<Object::Ptr> JsonClient::exchange(ConnectionPtr connection, HTTPRequest &request,
-                                               const std::string &body, core::Instant deadline)
+JsonAnswer JsonClient::exchange(ConnectionPtr &connection, HTTPRequest &request,
+                                const std::string &body, core::Instant deadline)
 {
     connection->setTimeouts(timeLeft(deadline));
     std::ostringstream message;
@@ -120,16 +149,47 @@
     HTTPResponse response;
     connection->receiveHead(response);
     core::HttpBodyReader reader(*connection, core::framingOf(response, request.getMethod()));
-    const std::string text = readText(*connection, reader, deadline);
-    if (response.getKeepAlive())
-        giveBack(std::move(connection));
-    if (response.getStatus() != HTTPResponse::HTTP_OK) {
-        return tl::unexpected<core::Error>(
-                error(kindOfRefusal(response.getStatus(), text), request.getURI(),
-                      "status " + std::to_string(response.getStatus()) + ": " + text));
+    JsonAnswer answer;
+    answer.status = response.getStatus();
+    answer.text = readText(*connection, reader, deadline);
+    if (!response.getKeepAlive()) {
+        leave(*connection);
+        connection.reset();
+    }
+    try {
+        answer.body = Poco::JSON::Parser().parse(answer.text).extract<Object::Ptr>();
+    } catch (const Poco::Exception &) {
+        // A refusal may carry plain text; callers that need an object check for it.
+        answer.body = nullptr;
+    }
+    return answer;
+}
+
+bool JsonClient::enter(core::HttpConnection &connection)
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_isInterrupted)
+        m_active.insert(&connection);
+    return !m_isInterrupted;
+}
+
+void JsonClient::leave(core::HttpConnection &connection)
+{
+    const std::lock_guard lock(m_mutex);
+    m_active.erase(&connection);
+}
+
+void JsonClient::interrupt()
+{
+    const std::lock_guard lock(m_mutex);
+    m_isInterrupted = true;
+    for (core::HttpConnection *connection : m_active) {
+        try {
+            connection->socket().shutdown();
+        } catch (const Poco::Exception &) {
+            // The server has closed the connection already, which ends the call as well.
+        }
     }
-    Poco::JSON::Parser parser;
-    return parser.parse(text).extract<Object::Ptr>();
 }
 
 JsonClient::ConnectionPtr JsonClient::takeIdle()
--- /dev/null
+++ b/modules/sardinehollow_platform/lease/LeasedKey.cpp
@@ -0,0 +1,92 @@
+#include "sardinehollow_platform/lease/LeasedKey.h"
+
+namespace sardinehollow::platform {
+
+namespace {
+
+constexpr core::Duration firstPause = std::chrono::milliseconds(100);
+constexpr core::Duration longestPause = std::chrono::milliseconds(800);
+// Two renewals may be lost before the lease ends.
+constexpr int renewalsPerLifetime = 3;
+
+} // namespace
+
+LeasedKey::LeasedKey(KeyValueStore &store, CallPurpose purpose, std::string key, std::string value,
+                     std::chrono::seconds lifetime, std::uint64_t seed)
+    : m_store(store)
+    , m_purpose(purpose)
+    , m_key(std::move(key))
+    , m_value(std::move(value))
+    , m_lifetime(lifetime)
+    , m_random(seed)
+    , m_backOff(m_random, firstPause, longestPause)
+    , m_thread([this] { run(); })
+{ }
+
+LeasedKey::~LeasedKey()
+{
+    release();
+    m_thread.join();
+}
+
+void LeasedKey::release()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isReleased = true;
+    }
+    m_changed.notify_all();
+}
+
+void LeasedKey::run()
+{
+    std::unique_lock lock(m_mutex);
+    while (!m_isReleased) {
+        lock.unlock();
+        const bool isAlive = m_lease != 0 ? renew() : publish();
+        lock.lock();
+        const core::Duration pause
+                = isAlive ? core::Duration(m_lifetime) / renewalsPerLifetime : m_backOff.next();
+        if (isAlive)
+            m_backOff.reset();
+        m_changed.wait_for(lock, pause, [this] { return m_isReleased; });
+    }
+    lock.unlock();
+    revoke();
+}
+
+bool LeasedKey::renew()
+{
+    const core::Result<Lease> lease = m_store.keepAliveLease(m_purpose, m_lease);
+    if (lease)
+        return true;
+    if (lease.error().kind != core::ErrorKind::NotFound)
+        return false;
+    // The lease ended with its key while the store could not be reached.
+    m_lease = 0;
+    return publish();
+}
+
+bool LeasedKey::publish()
+{
+    const core::Result<Lease> lease = m_store.grantLease(m_purpose, m_lifetime);
+    if (!lease)
+        return false;
+    const core::Result<TransactionResult> written
+            = m_store.transact(m_purpose, {}, {Write {m_key, m_value, lease->id}});
+    // After a lost answer the key may exist already; writing it once more changes nothing.
+    if (!written || !written->succeeded)
+        return false;
+    m_lease = lease->id;
+    return true;
+}
+
+void LeasedKey::revoke()
+{
+    if (m_lease == 0)
+        return;
+    // A key that cannot be removed now vanishes with its lease.
+    [[maybe_unused]] const core::Result<void> revoked = m_store.revokeLease(m_purpose, m_lease);
+}
+
+} // namespace sardinehollow::platform
--- /dev/null
+++ b/modules/sardinehollow_platform/lease/LeasedKey.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "sardinehollow_core/random/SeededRandom.h"
+#include "sardinehollow_core/time/BackOff.h"
+#include "sardinehollow_platform/store/KeyValueStore.h"
+
+#include <condition_variable>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace sardinehollow::platform {
+
+/** Keeps a key in the store for as long as this process lives and reaches the store. */
+class LeasedKey
+{
+public:
+    /** Without renewal the key vanishes after the lifetime. The seed spreads repeats. */
+    LeasedKey(KeyValueStore &store, CallPurpose purpose, std::string key, std::string value,
+              std::chrono::seconds lifetime, std::uint64_t seed);
+    ~LeasedKey();
+
+    /** Removes the key and stops renewing it; returns at once. */
+    void release();
+
+private:
+    void run();
+    /** Returns whether the key is in the store under a living lease. */
+    bool renew();
+    bool publish();
+    void revoke();
+
+    KeyValueStore &m_store;
+    const CallPurpose m_purpose;
+    const std::string m_key;
+    const std::string m_value;
+    const std::chrono::seconds m_lifetime;
+    core::SeededRandom m_random;
+    core::BackOff m_backOff;
+    /** Lease of the key; 0 if there is none. Used by the thread alone. */
+    std::int64_t m_lease = 0;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    bool m_isReleased = false;
+    std::thread m_thread;
+};
+
+} // namespace sardinehollow::platform
--- a/modules/sardinehollow_platform/store/CallPurpose.cpp
+++ b/modules/sardinehollow_platform/store/CallPurpose.cpp
@@ -12,6 +12,8 @@
                 {CallPurpose::Claim, "claim"},
                 {CallPurpose::Epoch, "epoch"},
                 {CallPurpose::Operator, "operator"},
+                {CallPurpose::Servers, "servers"},
+                {CallPurpose::Entries, "entries"},
         }}};
 
 } // namespace
--- a/modules/sardinehollow_platform/store/CallPurpose.h
+++ b/modules/sardinehollow_platform/store/CallPurpose.h
@@ -11,6 +11,10 @@
     Claim,
     Epoch,
     Operator,
+    /** Backend servers that register themselves. */
+    Servers,
+    /** Entries of the daemons that serve callers. */
+    Entries,
     Count,
 };
 
--- a/modules/sardinehollow_platform/store/KeyValue.h
+++ b/modules/sardinehollow_platform/store/KeyValue.h
@@ -14,6 +14,8 @@
     std::int64_t modRevision = 0;
     /** Lease that the key lives with; 0 for none. */
     std::int64_t lease = 0;
+    /** In a report of changes: the key was removed, and the value is empty. */
+    bool isDeleted = false;
 };
 
 } // namespace sardinehollow::platform
--- /dev/null
+++ b/modules/sardinehollow_routing/backends/BackendRegistry.cpp
@@ -0,0 +1,72 @@
+#include "sardinehollow_routing/backends/BackendRegistry.h"
+
+#include <algorithm>
+
+namespace sardinehollow::routing {
+
+namespace {
+
+// A start under the same id at another place or time knows nothing of the one before.
+bool isSameStart(const BackendServer &first, const BackendServer &second)
+{
+    return first.service == second.service && first.address == second.address
+            && first.startedAt == second.startedAt;
+}
+
+} // namespace
+
+BackendRegistry::BackendRegistry(std::map<std::string, std::string> regions)
+    : m_regions(std::move(regions))
+{ }
+
+void BackendRegistry::put(const BackendServer &server, core::Instant now)
+{
+    const auto found = m_servers.find(server.id);
+    if (found != m_servers.end() && isSameStart(found->second->server(), server)) {
+        found->second->update(server, now);
+        return;
+    }
+    remove(server.id);
+    const auto region = m_regions.find(server.failureDomain);
+    const auto state = std::make_shared<BackendState>(
+            server, region == m_regions.end() ? std::string() : region->second);
+    state->update(server, now);
+    m_servers[server.id] = state;
+    m_services[server.service].push_back(state);
+}
+
+void BackendRegistry::remove(const std::string &id)
+{
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end())
+        return;
+    const BackendStatePtr state = found->second;
+    state->setGone(true);
+    m_servers.erase(found);
+    detach(state);
+}
+
+void BackendRegistry::detach(const BackendStatePtr &state)
+{
+    std::vector<BackendStatePtr> &servers = m_services[state->server().service];
+    servers.erase(std::remove(servers.begin(), servers.end(), state), servers.end());
+}
+
+const std::vector<BackendStatePtr> &BackendRegistry::servers(const std::string &service) const
+{
+    static const std::vector<BackendStatePtr> none;
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? none : found->second;
+}
+
+void BackendRegistry::setEvacuated(std::set<std::string> failureDomains)
+{
+    m_evacuated = std::move(failureDomains);
+}
+
+bool BackendRegistry::isEvacuated(const std::string &failureDomain) const
+{
+    return m_evacuated.count(failureDomain) > 0;
+}
+
+} // namespace sardinehollow::routing
--- /dev/null
+++ b/modules/sardinehollow_routing/backends/BackendRegistry.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "sardinehollow_routing/backends/BackendState.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sardinehollow::routing {
+
+using BackendStatePtr = std::shared_ptr<BackendState>;
+
+/** The backend servers that the platform's store names. Not safe for concurrent use. */
+class BackendRegistry
+{
+public:
+    /** Regions by failure domain; servers of unknown failure domains belong to no region. */
+    explicit BackendRegistry(std::map<std::string, std::string> regions);
+
+    void put(const BackendServer &server, core::Instant now);
+    /** The server has left or is dead. */
+    void remove(const std::string &id);
+    bool contains(const std::string &id) const { return m_servers.count(id) > 0; }
+
+    /** Servers of a service, leaving ones included. */
+    const std::vector<BackendStatePtr> &servers(const std::string &service) const;
+    const std::map<std::string, BackendStatePtr> &all() const { return m_servers; }
+
+    /** Failure domains whose servers get nothing new. */
+    void setEvacuated(std::set<std::string> failureDomains);
+    bool isEvacuated(const std::string &failureDomain) const;
+
+private:
+    void detach(const BackendStatePtr &state);
+
+    const std::map<std::string, std::string> m_regions;
+    std::map<std::string, BackendStatePtr> m_servers;
+    std::map<std::string, std::vector<BackendStatePtr>> m_services;
+    std::set<std::string> m_evacuated;
+};
+
+} // namespace sardinehollow::routing
--- /dev/null
+++ b/modules/sardinehollow_routing/backends/BackendState.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "sardinehollow_core/time/Instant.h"
+#include "sardinehollow_routing/backends/BackendServer.h"
+#include "sardinehollow_routing/budgets/TokenBucket.h"
+
+#include <cstdint>
+#include <string>
+
+namespace sardinehollow::routing {
+
+/** What this daemon knows of one start of a backend server. Not safe for concurrent use. */
+class BackendState
+{
+public:
+    BackendState(BackendServer server, std::string region);
+
+    const BackendServer &server() const { return m_server; }
+    const std::string &region() const { return m_region; }
+    /** Hash of the server's address and start, for rendezvous hashing. */
+    std::uint64_t hash() const { return m_hash; }
+
+    /** Takes over a later report of the same start. */
+    void update(const BackendServer &server, core::Instant now);
+    /** Whether the server has left; nothing new is sent to it. */
+    bool isGone() const { return m_isGone; }
+    void setGone(bool gone) { m_isGone = gone; }
+
+    void onSent();
+    /** The request ended, with or without a response. */
+    void onEnded();
+    /** The server said how many requests it runs and how many wait. */
+    void onLoadReport(std::uint32_t running, std::uint32_t waiting, std::uint32_t slots,
+                      core::Instant now);
+    std::uint32_t inFlight() const { return m_inFlight; }
+    /** Estimated requests that run or wait at the server, from all daemons. */
+    double load(core::Instant now) const;
+
+    /** An attempt failed in a way that speaks against the server itself. */
+    void onFailure(core::Instant now);
+    void onSuccess();
+    /** Whether the server failed lately, so that others are tried first. */
+    bool isAvoided(core::Instant now) const { return now < m_avoidUntil; }
+    std::uint32_t consecutiveFailures() const { return m_consecutiveFailures; }
+
+    bool isCold(core::Instant now) const { return now < m_coldUntil; }
+    /** The server said that it stays cold for a while. */
+    void setCold(core::Duration left, core::Instant now) { m_coldUntil = now + left; }
+    /** This daemon's share of the requests that a cold server bears. */
+    TokenBucket &coldPermits() { return m_coldPermits; }
+
+private:
+    BackendServer m_server;
+    const std::string m_region;
+    const std::uint64_t m_hash;
+    bool m_isGone = false;
+    std::uint32_t m_inFlight = 0;
+    std::uint32_t m_sentSinceReport = 0;
+    std::uint32_t m_reported = 0;
+    core::Instant m_reportedAt {0};
+    std::uint32_t m_consecutiveFailures = 0;
+    core::Instant m_avoidUntil {0};
+    core::Instant m_coldUntil {0};
+    TokenBucket m_coldPermits;
+};
+
+} // namespace sardinehollow::routing
--- /dev/null
+++ b/modules/sardinehollow_routing/configuration/RouteTable.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "sardinehollow_routing/configuration/RoutingConfiguration.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace sardinehollow::routing {
+
+/** Finds the route of a request in one version of the configuration. Immutable. */
+class RouteTable
+{
+public:
+    explicit RouteTable(RoutingConfiguration configuration);
+
+    /**
+     * Returns the route of the host with the longest prefix of the path, or nullptr. The host is
+     * compared without case and port; a query behind the path is ignored.
+     */
+    const Route *find(std::string_view host, std::string_view path) const;
+    /** Returns the service's policy, or nullptr if the configuration has none. */
+    const ServicePolicy *service(const std::string &name) const;
+    const RoutingConfiguration &configuration() const { return m_configuration; }
+
+private:
+    using RoutesByPrefix = std::unordered_map<std::string, const Route *>;
+
+    const RoutingConfiguration m_configuration;
+    std::unordered_map<std::string, RoutesByPrefix> m_hosts;
+};
+
+} // namespace sardinehollow::routing
--- /dev/null
+++ b/modules/sardinehollow_routing/configuration/RoutingConfiguration.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "sardinehollow_routing/configuration/CallerLimits.h"
+#include "sardinehollow_routing/configuration/Route.h"
+#include "sardinehollow_routing/configuration/ServicePolicy.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace sardinehollow::routing {
+
+/** One version of what the operators declare; later versions have higher numbers. */
+struct RoutingConfiguration
+{
+    std::uint64_t version = 0;
+    std::vector<Route> routes;
+    std::map<std::string, ServicePolicy> services;
+    CallerLimits limits;
+};
+
+} // namespace sardinehollow::routing
--- /dev/null
+++ b/modules/sardinehollow_routing/entries/EntryDirectory.cpp
@@ -0,0 +1,43 @@
+#include "sardinehollow_routing/entries/EntryDirectory.h"
+
+#include <algorithm>
+
+namespace sardinehollow::routing {
+
+namespace {
+
+// One daemon alone would leave its callers nothing to turn to when it fails.
+constexpr std::size_t fewestAddresses = 2;
+// A caller keeps no more addresses than this.
+constexpr std::size_t mostAddresses = 64;
+
+} // namespace
+
+void EntryDirectory::put(const EntryDaemon &daemon)
+{
+    m_daemons[daemon.name] = daemon;
+    m_fleetSize = std::max(m_fleetSize, m_daemons.size());
+}
+
+std::vector<std::string> EntryDirectory::addressesFor(const std::string &region,
+                                                      const std::string &failureDomain) const
+{
+    std::vector<std::string> own;
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    for (const auto &[name, daemon] : m_daemons) {
+        if (daemon.failureDomain == failureDomain)
+            own.push_back(daemon.address);
+        else if (daemon.region == region)
+            near.push_back(daemon.address);
+        else
+            far.push_back(daemon.address);
+    }
+    own.insert(own.end(), near.begin(), near.end());
+    if (own.size() < fewestAddresses)
+        own.insert(own.end(), far.begin(), far.end());
+    own.resize(std::min(own.size(), mostAddresses));
+    return own;
+}
+
+} // namespace sardinehollow::routing
--- /dev/null
+++ b/modules/sardinehollow_routing/selection/ServerSelector.cpp
@@ -0,0 +1,103 @@
+#include "sardinehollow_routing/selection/ServerSelector.h"
+
+#include "sardinehollow_core/hash/StableHash.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sardinehollow::routing {
+
+namespace {
+
+// Keeps the logarithm of the rendezvous score finite.
+constexpr double smallestUnit = 1e-12;
+
+double rendezvousScore(std::uint64_t objectHash, const BackendState &server)
+{
+    const double unit
+            = std::max(core::hashToUnit(core::combineHashes(objectHash, server.hash())),
+                       smallestUnit);
+    return static_cast<double>(server.server().slots) / -std::log(unit);
+}
+
+bool hasRoom(BackendState &server, double loadLimit, core::Instant now)
+{
+    return server.load(now) < loadLimit * static_cast<double>(server.server().slots);
+}
+
+} // namespace
+
+ServerSelector::ServerSelector(const BackendRegistry &registry, SelectionSettings settings)
+    : m_registry(registry)
+    , m_settings(std::move(settings))
+{ }
+
+Selection ServerSelector::choose(const Route &route, const std::string &service,
+                                 std::uint64_t objectHash, const std::set<std::string> &tried,
+                                 core::Instant now) const
+{
+    const std::vector<Candidate> ranked = candidates(route, service, objectHash, tried);
+    if (ranked.empty())
+        return {nullptr, SelectionReason::NoServer};
+    const bool allAvoided
+            = std::all_of(ranked.begin(), ranked.end(), [now](const Candidate &candidate) {
+                  return candidate.server->isAvoided(now);
+              });
+    return pick(ranked, !tried.empty(), allAvoided, now);
+}
+
+std::vector<ServerSelector::Candidate>
+ServerSelector::candidates(const Route &route, const std::string &service, std::uint64_t objectHash,
+                           const std::set<std::string> &tried) const
+{
+    std::vector<Candidate> ranked;
+    for (const BackendStatePtr &server : m_registry.servers(service)) {
+        if (!mayRun(route, *server) || tried.count(server->server().id) > 0)
+            continue;
+        ranked.push_back({server, rendezvousScore(objectHash, *server),
+                          server->region() == m_settings.region});
+    }
+    std::sort(ranked.begin(), ranked.end(), [](const Candidate &first, const Candidate &second) {
+        if (first.isNear != second.isNear)
+            return first.isNear;
+        return first.score > second.score;
+    });
+    return ranked;
+}
+
+bool ServerSelector::mayRun(const Route &route, const BackendState &server) const
+{
+    if (server.server().isDraining || m_registry.isEvacuated(server.server().failureDomain))
+        return false;
+    const std::vector<std::string> &homes = route.homeRegions;
+    return homes.empty() || std::find(homes.begin(), homes.end(), server.region()) != homes.end();
+}
+
+Selection ServerSelector::pick(const std::vector<Candidate> &ranked, bool isRepeat, bool useAvoided,
+                               core::Instant now) const
+{
+    std::size_t nearSeen = 0;
+    std::size_t farSeen = 0;
+    for (const Candidate &candidate : ranked) {
+        BackendState &server = *candidate.server;
+        if (!useAvoided && server.isAvoided(now))
+            continue;
+        // A cold server that has no permit left counts as absent: its objects go to the next one.
+        if (server.isCold(now) && !server.coldPermits().hasPermit(now))
+            continue;
+        std::size_t &seen = candidate.isNear ? nearSeen : farSeen;
+        const std::size_t homes = candidate.isNear ? m_settings.nearHomes : m_settings.farHomes;
+        ++seen;
+        if (!isRepeat && seen > homes)
+            continue;
+        if (!hasRoom(server, m_settings.loadLimit, now))
+            continue;
+        if (isRepeat)
+            return {candidate.server, SelectionReason::Alternative};
+        return {candidate.server,
+                candidate.isNear ? SelectionReason::NearHome : SelectionReason::FarHome};
+    }
+    return {nullptr, SelectionReason::Overloaded};
+}
+
+} // namespace sardinehollow::routing
--- /dev/null
+++ b/modules/sardinehollow_routing/selection/ServerSelector.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "sardinehollow_routing/configuration/Route.h"
+#include "sardinehollow_routing/selection/Selection.h"
+#include "sardinehollow_routing/selection/SelectionSettings.h"
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sardinehollow::routing {
+
+/**
+ * Chooses backend servers by weighted rendezvous hashing of the object that a request concerns, so
+ * that all daemons send an object to the same servers without talking to each other.
+ */
+class ServerSelector
+{
+public:
+    ServerSelector(const BackendRegistry &registry, SelectionSettings settings);
+
+    /** The tried servers of an earlier attempt are left out; any other with room may follow. */
+    Selection choose(const Route &route, const std::string &service, std::uint64_t objectHash,
+                     const std::set<std::string> &tried, core::Instant now) const;
+
+private:
+    struct Candidate
+    {
+        BackendStatePtr server;
+        double score = 0;
+        bool isNear = false;
+    };
+
+    std::vector<Candidate> candidates(const Route &route, const std::string &service,
+                                      std::uint64_t objectHash,
+                                      const std::set<std::string> &tried) const;
+    bool mayRun(const Route &route, const BackendState &server) const;
+    Selection pick(const std::vector<Candidate> &ranked, bool isRepeat, bool useAvoided,
+                   core::Instant now) const;
+
+    const BackendRegistry &m_registry;
+    const SelectionSettings m_settings;
+};
+
+} // namespace sardinehollow::routing
