--- a/modules/sardinehollow_gateway/connection/BufferedConnection.cpp
+++ b/modules/sardinehollow_gateway/connection/BufferedConnection.cpp
@@ -5,6 +5,8 @@
 #include <Poco/Net/NetException.h>
 
 #include <array>
+#include <cerrno>
+#include <sys/socket.h>
 
 namespace sardinehollow::gateway {
 
@@ -119,17 +121,17 @@
 void BufferedConnection::flush()
 {
     const bool hadOutput = unsentBytes() > 0;
-    try {
-        while (unsentBytes() > 0) {
-            const int count = m_socket.sendBytes(m_output.data() + m_sent,
-                                                 static_cast<int>(unsentBytes()));
-            if (count <= 0)
-                break;
-            m_sent += static_cast<std::size_t>(count);
+    while (unsentBytes() > 0) {
+        // POCO's sendBytes() throws when the network takes nothing more.
+        const ssize_t count = ::send(m_socket.impl()->sockfd(), m_output.data() + m_sent,
+                                     unsentBytes(), MSG_NOSIGNAL);
+        if (count < 0 && errno != EAGAIN && errno != EINTR) {
+            fail("cannot send, error " + std::to_string(errno));
+            return;
         }
-    } catch (const Poco::Exception &exception) {
-        fail(exception.displayText());
-        return;
+        if (count <= 0)
+            break;
+        m_sent += static_cast<std::size_t>(count);
     }
     const bool isDrained = unsentBytes() == 0;
     if (isDrained) {
