--- a/modules/sardinehollow_gateway/application/GatewayApplication.cpp
+++ b/modules/sardinehollow_gateway/application/GatewayApplication.cpp
@@ -115,13 +115,23 @@
         m_ownEntry = std::make_unique<platform::LeasedKey>(
                 m_store, platform::CallPurpose::Entries, entryPrefix + m_settings.self.name,
                 encodeEntry(m_settings.self), std::max(entryLifetime, m_settings.shortestLease),
-                seedOf(m_settings, "lease"));
+                seedOf(m_settings, "lease"),
+                [this](const core::Error &error) { onRenewalFailed(error); });
         m_log.state(LogLine("ready").text("vm", m_settings.self.name));
     }
     m_log.flush();
     m_loop.schedule(tickInterval, [this] { onTick(); });
 }
 
+void GatewayApplication::onRenewalFailed(const core::Error &error)
+{
+    m_loop.post([this, error] {
+        m_log.state(LogLine("renewal-failed").text("error", error.text()));
+        for (const auto *mirror : {&m_operatorMirror, &m_serverMirror, &m_entryMirror})
+            (*mirror)->recheck();
+    });
+}
+
 void GatewayApplication::checkSignals()
 {
     if (m_reloadRequested.exchange(false))
--- a/modules/sardinehollow_gateway/application/GatewayApplication.h
+++ b/modules/sardinehollow_gateway/application/GatewayApplication.h
@@ -37,6 +37,7 @@
 private:
     void startListeners();
     void onTick();
+    void onRenewalFailed(const core::Error &error);
     void checkSignals();
     void beginStop();
     void advanceStop();
--- a/modules/sardinehollow_gateway/application/LoopMirror.h
+++ b/modules/sardinehollow_gateway/application/LoopMirror.h
@@ -17,6 +17,9 @@
         , m_mirror(store, purpose, prefix, *this, seed)
     { }
 
+    /** See PrefixMirror::recheck(). */
+    void recheck() { m_mirror.recheck(); }
+
 private:
     void onSnapshot(const std::vector<platform::KeyValue> &keyValues) override
     {
--- a/modules/sardinehollow_platform/lease/LeasedKey.cpp
+++ b/modules/sardinehollow_platform/lease/LeasedKey.cpp
@@ -12,12 +12,13 @@
 } // namespace
 
 LeasedKey::LeasedKey(KeyValueStore &store, CallPurpose purpose, std::string key, std::string value,
-                     std::chrono::seconds lifetime, std::uint64_t seed)
+                     std::chrono::seconds lifetime, std::uint64_t seed, FailureHandler onFailure)
     : m_store(store)
     , m_purpose(purpose)
     , m_key(std::move(key))
     , m_value(std::move(value))
     , m_lifetime(lifetime)
+    , m_onFailure(std::move(onFailure))
     , m_random(seed)
     , m_backOff(m_random, firstPause, longestPause)
     , m_thread([this] { run(); })
@@ -61,7 +62,7 @@
     if (lease)
         return true;
     if (lease.error().kind != core::ErrorKind::NotFound)
-        return false;
+        return fail(lease.error());
     // The lease ended with its key while the store could not be reached.
     m_lease = 0;
     return publish();
@@ -71,16 +72,22 @@
 {
     const core::Result<Lease> lease = m_store.grantLease(m_purpose, m_lifetime);
     if (!lease)
-        return false;
+        return fail(lease.error());
     const core::Result<TransactionResult> written
             = m_store.transact(m_purpose, {}, {Write {m_key, m_value, lease->id}});
     // After a lost answer the key may exist already; writing it once more changes nothing.
-    if (!written || !written->succeeded)
-        return false;
+    if (!written)
+        return fail(written.error());
     m_lease = lease->id;
     return true;
 }
 
+bool LeasedKey::fail(const core::Error &error)
+{
+    m_onFailure(error);
+    return false;
+}
+
 void LeasedKey::revoke()
 {
     if (m_lease == 0)
--- a/modules/sardinehollow_platform/lease/LeasedKey.h
+++ b/modules/sardinehollow_platform/lease/LeasedKey.h
@@ -5,6 +5,7 @@
 #include "sardinehollow_platform/store/KeyValueStore.h"
 
 #include <condition_variable>
+#include <functional>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -15,9 +16,12 @@
 class LeasedKey
 {
 public:
+    /** Called on the thread of the key when the store did not answer or refused. */
+    using FailureHandler = std::function<void(const core::Error &)>;
+
     /** Without renewal the key vanishes after the lifetime. The seed spreads repeats. */
     LeasedKey(KeyValueStore &store, CallPurpose purpose, std::string key, std::string value,
-              std::chrono::seconds lifetime, std::uint64_t seed);
+              std::chrono::seconds lifetime, std::uint64_t seed, FailureHandler onFailure);
     ~LeasedKey();
 
     /** Removes the key and stops renewing it; returns at once. */
@@ -29,12 +33,14 @@
     bool renew();
     bool publish();
     void revoke();
+    bool fail(const core::Error &error);
 
     KeyValueStore &m_store;
     const CallPurpose m_purpose;
     const std::string m_key;
     const std::string m_value;
     const std::chrono::seconds m_lifetime;
+    const FailureHandler m_onFailure;
     core::SeededRandom m_random;
     core::BackOff m_backOff;
     /** Lease of the key; 0 if there is none. Used by the thread alone. */
--- a/modules/sardinehollow_platform/mirror/PrefixMirror.cpp
+++ b/modules/sardinehollow_platform/mirror/PrefixMirror.cpp
@@ -77,6 +77,7 @@
     {
         const std::lock_guard lock(m_mutex);
         m_watchEnd.reset();
+        m_isRecheckDue = false;
         revision = m_revision;
     }
     const core::Result<std::unique_ptr<Watch>> running
@@ -84,8 +85,19 @@
     if (!running)
         return running.error();
     std::unique_lock lock(m_mutex);
-    m_changed.wait(lock, [this] { return m_watchEnd || m_isStopping; });
-    return m_watchEnd.value_or(core::Error {});
+    m_changed.wait(lock, [this] { return m_watchEnd || m_isStopping || m_isRecheckDue; });
+    return m_watchEnd.value_or(core::Error {core::ErrorKind::Unavailable,
+                                            "the store left another call without an answer",
+                                            "see the state of the platform's store"});
+}
+
+void PrefixMirror::recheck()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isRecheckDue = true;
+    }
+    m_changed.notify_all();
 }
 
 void PrefixMirror::onChanged(const std::vector<KeyValue> &keyValues, std::int64_t revision)
--- a/modules/sardinehollow_platform/mirror/PrefixMirror.h
+++ b/modules/sardinehollow_platform/mirror/PrefixMirror.h
@@ -25,6 +25,12 @@
                  MirrorListener &listener, std::uint64_t seed);
     ~PrefixMirror() override;
 
+    /**
+     * Another call to the store was not answered: the running watch may be dead as well without a
+     * sign, and is started again. Safe for concurrent use.
+     */
+    void recheck();
+
 private:
     void run();
     bool read();
@@ -46,6 +52,7 @@
     std::condition_variable m_changed;
     bool m_isStopping = false;
     bool m_isLost = false;
+    bool m_isRecheckDue = false;
     /** Changes up to here were reported; 0 before the first read. */
     std::int64_t m_revision = 0;
     std::optional<core::Error> m_watchEnd;
