--- a/modules/sardinehollow_gateway/application/GatewayApplication.cpp
+++ b/modules/sardinehollow_gateway/application/GatewayApplication.cpp
@@ -18,8 +18,11 @@
 constexpr core::Duration announceTime = std::chrono::milliseconds(2500);
 // A caller's next request may be on its way to a connection that was quiet for less.
 constexpr core::Duration quietBeforeClose = std::chrono::milliseconds(300);
+// New requests are refused in this last part of the grace period, so that those taken before can
+// end; the platform's callers wait no longer than this for most requests.
+constexpr double finishingShare = 0.5;
 // Left of the grace period for the process to end.
-constexpr core::Duration exitTime = std::chrono::milliseconds(500);
+constexpr core::Duration exitTime = std::chrono::milliseconds(300);
 
 std::uint64_t seedOf(const GatewaySettings &settings, std::string_view purpose)
 {
@@ -154,6 +157,13 @@
     const core::Duration elapsed = m_loop.now() - m_stoppingSince;
     if (elapsed < announceTime)
         return;
+    const bool isFinishing
+            = elapsed >= std::chrono::duration_cast<core::Duration>(m_settings.stopGrace * (1 - finishingShare));
+    if (isFinishing && !m_services.isRefusing) {
+        m_services.isRefusing = true;
+        m_callers->stopAccepting();
+        m_log.state(LogLine("finishing").number("requests", static_cast<std::int64_t>(m_callers->busyCount())));
+    }
     m_callers->closeIdle(quietBeforeClose);
     const bool isDone = m_callers->connectionCount() == 0;
     if (isDone || elapsed > m_settings.stopGrace - exitTime)
--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -94,6 +94,10 @@
 void Exchange::start()
 {
     m_table = m_services.routing.table();
+    if (m_services.isRefusing) {
+        refuse(RequestOutcome::Leaving, "the daemon stops; use another one");
+        return;
+    }
     if (!m_table) {
         refuse(RequestOutcome::NoConfiguration, "no configuration has been read yet");
         return;
--- a/modules/sardinehollow_gateway/exchange/GatewayServices.h
+++ b/modules/sardinehollow_gateway/exchange/GatewayServices.h
@@ -20,6 +20,8 @@
     EventLog &log;
     /** The daemon takes no new callers: connections end with the next response. */
     bool isLeaving = false;
+    /** The daemon stops soon: requests that come now could not be finished. */
+    bool isRefusing = false;
 };
 
 } // namespace sardinehollow::gateway
--- a/modules/sardinehollow_gateway/status/RequestOutcome.h
+++ b/modules/sardinehollow_gateway/status/RequestOutcome.h
@@ -12,6 +12,8 @@
     /** No configuration is known yet. */
     NoConfiguration,
     NoRoute,
+    /** The daemon stops soon and takes no new requests. */
+    Leaving,
     /** The request is no proper HTTP, or its framing is ambiguous. */
     Malformed,
     HeaderTooLarge,
