Limit how fast requests change their region, reset abandoned requests, log failed attempts

The share of requests that leave the region now changes by at most 0.06 a second, and abandoned connections are reset.

--- a/modules/sardinehollow_gateway/backend/BackendConnection.cpp
+++ b/modules/sardinehollow_gateway/backend/BackendConnection.cpp
@@ -63,7 +63,8 @@
     if (m_listener)
         m_server->onEnded();
     m_listener = nullptr;
-    close();
+    // A request that a partition holds up would otherwise reach the server once the partition ends.
+    reset();
     release(false);
 }
 
@@ -202,7 +203,7 @@
 {
     AttemptListener *listener = m_listener;
     m_listener = nullptr;
-    close();
+    reset();
     if (listener)
         m_server->onEnded();
     release(false);
--- a/modules/sardinehollow_gateway/connection/BufferedConnection.cpp
+++ b/modules/sardinehollow_gateway/connection/BufferedConnection.cpp
@@ -66,6 +66,14 @@
     m_socket.close();
 }
 
+void BufferedConnection::reset()
+{
+    if (!m_isOpen)
+        return;
+    m_socket.setLinger(true, 0);
+    close();
+}
+
 void BufferedConnection::closeGracefully()
 {
     if (!m_isOpen || m_isClosing)
--- a/modules/sardinehollow_gateway/connection/BufferedConnection.h
+++ b/modules/sardinehollow_gateway/connection/BufferedConnection.h
@@ -38,6 +38,8 @@
     void setReading(bool reading);
     /** Closes at once; onClosed() is not called. Unread bytes of the peer reset the connection. */
     void close();
+    /** Closes at once and drops what the network still holds, so that it cannot arrive later. */
+    void reset();
     /** Closes after what was sent has gone out; the peer's remaining bytes are read and dropped. */
     void closeGracefully();
 
--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -175,6 +175,7 @@
 void Exchange::send(const routing::Selection &selection)
 {
     const routing::BackendStatePtr &server = selection.server;
+    m_server = server;
     m_tried.insert(server->server().id);
     try {
         m_backend = &m_services.pool.take(
@@ -279,11 +280,10 @@
 
 void Exchange::onResponseEnd()
 {
-    const routing::BackendStatePtr server = m_backend->server();
     m_backend = nullptr;
     const int status = m_response->getStatus();
     if (m_isStreaming) {
-        server->onSuccess();
+        m_server->onSuccess();
         m_sink.finishResponse();
         finish(RequestOutcome::Delivered, status, "streamed");
         return;
@@ -304,11 +304,12 @@
     }
     if (status >= HTTPResponse::HTTP_INTERNAL_SERVER_ERROR && mayRetry(RetryReason::ServerError)) {
         m_services.metrics.countRetry(RetryReason::ServerError);
+        logFailedAttempt(RetryReason::ServerError, "the server answered " + std::to_string(status));
         m_mayHaveRun = true;
         attempt();
         return;
     }
-    server->onSuccess();
+    m_server->onSuccess();
     deliver();
 }
 
@@ -327,22 +328,22 @@
 
 void Exchange::onAttemptFailed(AttemptFailure failure, const std::string &detail)
 {
-    const routing::BackendStatePtr server = m_backend->server();
     m_backend = nullptr;
-    server->onFailure(m_services.loop.now());
+    m_server->onFailure(m_services.loop.now());
     if (m_isStreaming) {
         m_sink.abortResponse();
         finish(RequestOutcome::ResponseCut, m_response->getStatus(), detail);
         return;
     }
     if (failure != AttemptFailure::InvalidResponse)
-        m_services.pool.dropIdle(*server);
+        m_services.pool.dropIdle(*m_server);
     endAttempt(toRetryReason(failure), detail);
 }
 
 void Exchange::endAttempt(RetryReason reason, const std::string &detail)
 {
     m_services.metrics.countRetry(reason);
+    logFailedAttempt(reason, detail);
     m_mayHaveRun = m_mayHaveRun || canHaveRun(reason);
     if (reason == RetryReason::NotConnected) {
         ++m_connectionFailures;
@@ -354,6 +355,22 @@
         giveUp(reason, detail);
 }
 
+void Exchange::logFailedAttempt(RetryReason reason, const std::string &detail)
+{
+    const core::Instant now = m_services.loop.now();
+    LogLine line("attempt-failed");
+    line.text("id", m_facts.requestId)
+            .text("server", m_server ? m_server->server().id : "")
+            .text("reason", toName(reason))
+            .text("detail", detail)
+            .number("attempt", m_attempts)
+            .number("consecutiveFailures", m_server ? m_server->consecutiveFailures() : 0)
+            .number("load", m_server ? static_cast<std::int64_t>(m_server->load(now)) : 0)
+            .number("slots", m_server ? m_server->server().slots : 0)
+            .milliseconds("ms", now - m_startedAt);
+    m_services.log.request(line, now);
+}
+
 bool Exchange::mayRetry(RetryReason reason)
 {
     const core::Instant now = m_services.loop.now();
--- a/modules/sardinehollow_gateway/exchange/Exchange.h
+++ b/modules/sardinehollow_gateway/exchange/Exchange.h
@@ -46,6 +46,7 @@
     core::Duration timeLeft() const;
     void onTimeout();
     void endAttempt(RetryReason reason, const std::string &detail);
+    void logFailedAttempt(RetryReason reason, const std::string &detail);
     bool mayRetry(RetryReason reason);
     void giveUp(RetryReason reason, const std::string &detail);
     void startStreaming();
@@ -73,6 +74,8 @@
     bool m_isBodyStreamed = false;
 
     BackendConnection *m_backend = nullptr;
+    /** The server of the present or last attempt. */
+    routing::BackendStatePtr m_server;
     routing::SelectionReason m_selectionReason = routing::SelectionReason::NoServer;
     std::set<std::string> m_tried;
     std::uint32_t m_attempts = 0;
--- a/modules/sardinehollow_routing/selection/SelectionSettings.h
+++ b/modules/sardinehollow_routing/selection/SelectionSettings.h
@@ -16,6 +16,8 @@
     std::size_t farHomes = 1;
     /** Load in slots above which a server gets nothing more; docs/platform.md has the trials. */
     double loadLimit = 2.0;
+    /** Largest change a second of the share of requests that leave the region; 0 to 1. */
+    double spillChangePerSecond = 0.06;
 };
 
 } // namespace sardinehollow::routing
--- a/modules/sardinehollow_routing/selection/ServerSelector.cpp
+++ b/modules/sardinehollow_routing/selection/ServerSelector.cpp
@@ -30,20 +30,18 @@
 ServerSelector::ServerSelector(const BackendRegistry &registry, SelectionSettings settings)
     : m_registry(registry)
     , m_settings(std::move(settings))
+    , m_ramp(m_settings.spillChangePerSecond)
 { }
 
 Selection ServerSelector::choose(const Route &route, const std::string &service,
                                  std::uint64_t objectHash, const std::set<std::string> &tried,
-                                 core::Instant now) const
+                                 core::Instant now)
 {
     const std::vector<Candidate> ranked = candidates(route, service, objectHash, tried);
     if (ranked.empty())
         return {nullptr, SelectionReason::NoServer};
-    const bool allAvoided
-            = std::all_of(ranked.begin(), ranked.end(), [now](const Candidate &candidate) {
-                  return candidate.server->isAvoided(now);
-              });
-    return pick(ranked, !tried.empty(), allAvoided, now);
+    const std::vector<Candidate> fit = usable(ranked, now);
+    return tried.empty() ? pickHome(fit, now) : pickAny(fit, now);
 }
 
 std::vector<ServerSelector::Candidate>
@@ -73,29 +71,65 @@
     return homes.empty() || std::find(homes.begin(), homes.end(), server.region()) != homes.end();
 }
 
-Selection ServerSelector::pick(const std::vector<Candidate> &ranked, bool isRepeat, bool useAvoided,
-                               core::Instant now) const
+std::vector<ServerSelector::Candidate>
+ServerSelector::usable(const std::vector<Candidate> &ranked, core::Instant now) const
 {
-    std::size_t nearSeen = 0;
-    std::size_t farSeen = 0;
+    const bool areAllAvoided
+            = std::all_of(ranked.begin(), ranked.end(), [now](const Candidate &candidate) {
+                  return candidate.server->isAvoided(now);
+              });
+    std::vector<Candidate> fit;
     for (const Candidate &candidate : ranked) {
         BackendState &server = *candidate.server;
-        if (!useAvoided && server.isAvoided(now))
+        if (!areAllAvoided && server.isAvoided(now))
             continue;
         // A cold server that has no permit left counts as absent: its objects go to the next one.
         if (server.isCold(now) && !server.coldPermits().hasPermit(now))
             continue;
+        fit.push_back(candidate);
+    }
+    return fit;
+}
+
+Selection ServerSelector::pickHome(const std::vector<Candidate> &ranked, core::Instant now)
+{
+    BackendStatePtr near;
+    BackendStatePtr far;
+    bool hasNear = false;
+    bool hasFar = false;
+    std::size_t nearSeen = 0;
+    std::size_t farSeen = 0;
+    for (const Candidate &candidate : ranked) {
         std::size_t &seen = candidate.isNear ? nearSeen : farSeen;
-        const std::size_t homes = candidate.isNear ? m_settings.nearHomes : m_settings.farHomes;
-        ++seen;
-        if (!isRepeat && seen > homes)
-            continue;
-        if (!hasRoom(server, m_settings.loadLimit, now))
+        if (++seen > (candidate.isNear ? m_settings.nearHomes : m_settings.farHomes))
             continue;
-        if (isRepeat)
+        (candidate.isNear ? hasNear : hasFar) = true;
+        BackendStatePtr &chosen = candidate.isNear ? near : far;
+        if (!chosen && hasRoom(*candidate.server, m_settings.loadLimit, now))
+            chosen = candidate.server;
+    }
+    // Without a choice between regions there is no move to slow down.
+    if (hasNear && hasFar) {
+        const SpillRamp::Advice advice = m_ramp.advise(!near, now);
+        if (advice == SpillRamp::Advice::Stay)
+            far = nullptr;
+        if (advice == SpillRamp::Advice::Leave && far)
+            near = nullptr;
+        if (near || far)
+            m_ramp.onSent(!near, now);
+    }
+    if (near)
+        return {near, SelectionReason::NearHome};
+    if (far)
+        return {far, SelectionReason::FarHome};
+    return {nullptr, SelectionReason::Overloaded};
+}
+
+Selection ServerSelector::pickAny(const std::vector<Candidate> &ranked, core::Instant now) const
+{
+    for (const Candidate &candidate : ranked) {
+        if (hasRoom(*candidate.server, m_settings.loadLimit, now))
             return {candidate.server, SelectionReason::Alternative};
-        return {candidate.server,
-                candidate.isNear ? SelectionReason::NearHome : SelectionReason::FarHome};
     }
     return {nullptr, SelectionReason::Overloaded};
 }
--- a/modules/sardinehollow_routing/selection/ServerSelector.h
+++ b/modules/sardinehollow_routing/selection/ServerSelector.h
@@ -3,6 +3,7 @@
 #include "sardinehollow_routing/configuration/Route.h"
 #include "sardinehollow_routing/selection/Selection.h"
 #include "sardinehollow_routing/selection/SelectionSettings.h"
+#include "sardinehollow_routing/selection/SpillRamp.h"
 
 #include <cstdint>
 #include <set>
@@ -22,7 +23,7 @@
 
     /** The tried servers of an earlier attempt are left out; any other with room may follow. */
     Selection choose(const Route &route, const std::string &service, std::uint64_t objectHash,
-                     const std::set<std::string> &tried, core::Instant now) const;
+                     const std::set<std::string> &tried, core::Instant now);
 
 private:
     struct Candidate
@@ -36,11 +37,14 @@
                                       std::uint64_t objectHash,
                                       const std::set<std::string> &tried) const;
     bool mayRun(const Route &route, const BackendState &server) const;
-    Selection pick(const std::vector<Candidate> &ranked, bool isRepeat, bool useAvoided,
-                   core::Instant now) const;
+    /** Leaves out servers that failed lately and cold ones that bear nothing more now. */
+    std::vector<Candidate> usable(const std::vector<Candidate> &ranked, core::Instant now) const;
+    Selection pickHome(const std::vector<Candidate> &ranked, core::Instant now);
+    Selection pickAny(const std::vector<Candidate> &ranked, core::Instant now) const;
 
     const BackendRegistry &m_registry;
     const SelectionSettings m_settings;
+    SpillRamp m_ramp;
 };
 
 } // namespace sardinehollow::routing
