Estimate a server's load from its reports and this daemon's part of its work; admit by expected latency

Cause: after a refusal no new report came, the last one faded within 600 ms, and all daemons of a region sent at once up to a full queue (24 of 24), which oscillated and made the share near and far jump. The estimate now falls by this daemon's part of what the server gets done, and a server gets a request while its expected latency (average run, queue, network) is within 0.85 of the route's objective.

--- a/modules/sardinehollow_gateway/backend/BackendConnection.cpp
+++ b/modules/sardinehollow_gateway/backend/BackendConnection.cpp
@@ -32,6 +32,7 @@
     , m_server(std::move(server))
     , m_onRelease(std::move(onRelease))
     , m_idleLimit(defaultIdleLimit)
+    , m_startedAt(eventLoop.now())
 {
     m_connectTimer = loop().schedule(connectTimeout, [this] {
         if (isConnected() || !isOpen())
@@ -54,7 +55,9 @@
     m_requestId = requestId;
     m_isRequestWhole = false;
     m_decoder.reset();
-    m_server->onSent();
+    m_sentAt = loop().now();
+    m_loadAtSend = m_server->load(m_sentAt);
+    m_server->onSent(m_sentAt);
     send(head);
 }
 
@@ -71,6 +74,7 @@
 void BackendConnection::onConnected()
 {
     loop().cancel(m_connectTimer);
+    m_server->onConnected(loop().now() - m_startedAt);
 }
 
 void BackendConnection::onInput()
@@ -173,6 +177,7 @@
     if (!isReusable)
         close();
     m_server->onEnded();
+    m_server->onResponse(loop().now() - m_sentAt, m_loadAtSend);
     m_idleSince = loop().now();
     listener->onResponseEnd();
     m_isReleased = !isReusable;
--- a/modules/sardinehollow_gateway/backend/BackendConnection.h
+++ b/modules/sardinehollow_gateway/backend/BackendConnection.h
@@ -68,6 +68,9 @@
     EventLoop::Timer m_connectTimer;
     core::Instant m_idleSince {0};
     core::Duration m_idleLimit;
+    const core::Instant m_startedAt;
+    core::Instant m_sentAt {0};
+    double m_loadAtSend = 0;
 };
 
 } // namespace sardinehollow::gateway
--- a/modules/sardinehollow_routing/backends/BackendState.cpp
+++ b/modules/sardinehollow_routing/backends/BackendState.cpp
@@ -8,9 +8,10 @@
 
 namespace {
 
-// A load report says less the older it is; after this time only own requests count. About three
-// times the run of a request at the present deployments.
-constexpr core::Duration reportLifetime = std::chrono::milliseconds(600);
+// Run of a request before the first response: about that of the present deployments.
+constexpr core::Duration firstRunTime = std::chrono::milliseconds(150);
+// Weight of the latest response in the average run.
+constexpr double runTimeWeight = 0.1;
 // Failures in a row after which a server is passed over: one may be the request's own fault.
 constexpr std::uint32_t toleratedFailures = 2;
 constexpr core::Duration firstAvoidance = std::chrono::milliseconds(500);
@@ -22,6 +23,7 @@
     : m_server(std::move(server))
     , m_region(std::move(region))
     , m_hash(core::stableHash(m_server.id))
+    , m_runTime(firstRunTime)
     , m_coldPermits(0, 1)
 { }
 
@@ -32,10 +34,11 @@
         setCold(server.coldFor, now);
 }
 
-void BackendState::onSent()
+void BackendState::onSent(core::Instant now)
 {
     ++m_inFlight;
-    ++m_sentSinceReport;
+    m_load = load(now) + 1;
+    m_loadAt = now;
 }
 
 void BackendState::onEnded()
@@ -43,21 +46,42 @@
     --m_inFlight;
 }
 
+void BackendState::onResponse(core::Duration latency, double loadAtSend)
+{
+    const double waves = std::max(1.0, loadAtSend / m_server.slots);
+    const core::Duration run = latency - m_roundTrip;
+    const auto sample = std::chrono::duration_cast<core::Duration>(
+            std::max(run, core::Duration {0}) / waves);
+    m_runTime += std::chrono::duration_cast<core::Duration>((sample - m_runTime) * runTimeWeight);
+}
+
+void BackendState::onConnected(core::Duration latency)
+{
+    m_roundTrip = m_roundTrip.count() == 0 ? latency : std::min(m_roundTrip, latency);
+}
+
 void BackendState::onLoadReport(std::uint32_t running, std::uint32_t waiting, std::uint32_t slots,
                                 core::Instant now)
 {
-    m_reported = running + waiting;
-    m_reportedAt = now;
-    m_sentSinceReport = 0;
+    m_load = running + waiting;
+    m_loadAt = now;
     if (slots > 0)
         m_server.slots = slots;
 }
 
 double BackendState::load(core::Instant now) const
 {
-    const double age = std::chrono::duration<double>(now - m_reportedAt) / reportLifetime;
-    const double freshness = std::clamp(1.0 - age, 0.0, 1.0);
-    return std::max<double>(m_inFlight, m_reported * freshness + m_sentSinceReport * freshness);
+    const double elapsed = std::chrono::duration<double>(now - m_loadAt).count();
+    const double runSeconds = std::max(std::chrono::duration<double>(m_runTime).count(), 1e-3);
+    const double done
+            = elapsed * m_server.slots / runSeconds / static_cast<double>(m_senders);
+    return std::max<double>(m_inFlight, m_load - done);
+}
+
+core::Duration BackendState::expectedLatency(core::Instant now) const
+{
+    const double waves = std::max(1.0, (load(now) + 1) / m_server.slots);
+    return m_roundTrip + std::chrono::duration_cast<core::Duration>(m_runTime * waves);
 }
 
 void BackendState::onFailure(core::Instant now)
--- a/modules/sardinehollow_routing/backends/BackendState.h
+++ b/modules/sardinehollow_routing/backends/BackendState.h
@@ -26,15 +26,23 @@
     bool isGone() const { return m_isGone; }
     void setGone(bool gone) { m_isGone = gone; }
 
-    void onSent();
+    void onSent(core::Instant now);
     /** The request ended, with or without a response. */
     void onEnded();
+    /** A whole response came for a request that was sent at the given load. */
+    void onResponse(core::Duration latency, double loadAtSend);
+    /** A connection was made; the time that it took is about one way there and back. */
+    void onConnected(core::Duration latency);
+    /** Daemons that send to this server; each counts on its part of what the server gets done. */
+    void setSenders(std::size_t count) { m_senders = count; }
     /** The server said how many requests it runs and how many wait. */
     void onLoadReport(std::uint32_t running, std::uint32_t waiting, std::uint32_t slots,
                       core::Instant now);
     std::uint32_t inFlight() const { return m_inFlight; }
     /** Estimated requests that run or wait at the server, from all daemons. */
     double load(core::Instant now) const;
+    /** Time that a request sent now is expected to take, waiting and network included. */
+    core::Duration expectedLatency(core::Instant now) const;
 
     /** An attempt failed in a way that speaks against the server itself. */
     void onFailure(core::Instant now);
@@ -55,9 +63,13 @@
     const std::uint64_t m_hash;
     bool m_isGone = false;
     std::uint32_t m_inFlight = 0;
-    std::uint32_t m_sentSinceReport = 0;
-    std::uint32_t m_reported = 0;
-    core::Instant m_reportedAt {0};
+    /** Load at the time below; it falls by what the server gets done of this daemon's part. */
+    double m_load = 0;
+    core::Instant m_loadAt {0};
+    /** Average run of one request without waiting, network included. */
+    core::Duration m_runTime;
+    core::Duration m_roundTrip {0};
+    std::size_t m_senders = 1;
     std::uint32_t m_consecutiveFailures = 0;
     core::Instant m_avoidUntil {0};
     core::Instant m_coldUntil {0};
--- a/modules/sardinehollow_routing/entries/EntryDirectory.cpp
+++ b/modules/sardinehollow_routing/entries/EntryDirectory.cpp
@@ -19,6 +19,14 @@
     m_fleetSize = std::max(m_fleetSize, m_daemons.size());
 }
 
+std::size_t EntryDirectory::countIn(const std::string &region) const
+{
+    const auto count = std::count_if(
+            m_daemons.begin(), m_daemons.end(),
+            [&region](const auto &entry) { return entry.second.region == region; });
+    return std::max<std::size_t>(1, static_cast<std::size_t>(count));
+}
+
 std::vector<std::string> EntryDirectory::addressesFor(const std::string &region,
                                                       const std::string &failureDomain) const
 {
--- a/modules/sardinehollow_routing/entries/EntryDirectory.h
+++ b/modules/sardinehollow_routing/entries/EntryDirectory.h
@@ -19,6 +19,8 @@
     const std::map<std::string, EntryDaemon> &daemons() const { return m_daemons; }
     /** Largest number of daemons seen at once, at least 1: budgets are divided by it. */
     std::size_t fleetSize() const { return m_fleetSize; }
+    /** Daemons of a region, at least 1. */
+    std::size_t countIn(const std::string &region) const;
 
     /**
      * Returns addresses for a caller: all daemons of its region, and those of other regions only
--- a/modules/sardinehollow_routing/selection/SelectionSettings.h
+++ b/modules/sardinehollow_routing/selection/SelectionSettings.h
@@ -14,8 +14,12 @@
     std::size_t nearHomes = 1;
     /** Servers of other regions that take what the near ones cannot. */
     std::size_t farHomes = 1;
-    /** Load in slots above which a server gets nothing more; docs/platform.md has the trials. */
-    double loadLimit = 2.0;
+    /** Part of the latency objective that the expected latency may take. */
+    double objectiveShare = 0.85;
+    /** Load in slots up to which a server is used whatever latency is expected. */
+    double smallestLoadLimit = 1.0;
+    /** Load in slots above which a server gets nothing more: its queue would be full. */
+    double largestLoadLimit = 3.5;
     /** Largest change a second of the share of requests that leave the region; 0 to 1. */
     double spillChangePerSecond = 0.06;
 };
--- a/modules/sardinehollow_routing/selection/ServerSelector.cpp
+++ b/modules/sardinehollow_routing/selection/ServerSelector.cpp
@@ -20,11 +20,6 @@
     return static_cast<double>(server.server().slots) / -std::log(unit);
 }
 
-bool hasRoom(BackendState &server, double loadLimit, core::Instant now)
-{
-    return server.load(now) < loadLimit * static_cast<double>(server.server().slots);
-}
-
 } // namespace
 
 ServerSelector::ServerSelector(const BackendRegistry &registry, SelectionSettings settings)
@@ -41,7 +36,7 @@
     if (ranked.empty())
         return {nullptr, SelectionReason::NoServer};
     const std::vector<Candidate> fit = usable(ranked, now);
-    return tried.empty() ? pickHome(fit, now) : pickAny(fit, now);
+    return tried.empty() ? pickHome(route, fit, now) : pickAny(route, fit, now);
 }
 
 std::vector<ServerSelector::Candidate>
@@ -91,7 +86,8 @@
     return fit;
 }
 
-Selection ServerSelector::pickHome(const std::vector<Candidate> &ranked, core::Instant now)
+Selection ServerSelector::pickHome(const Route &route, const std::vector<Candidate> &ranked,
+                                   core::Instant now)
 {
     BackendStatePtr near;
     BackendStatePtr far;
@@ -105,7 +101,7 @@
             continue;
         (candidate.isNear ? hasNear : hasFar) = true;
         BackendStatePtr &chosen = candidate.isNear ? near : far;
-        if (!chosen && hasRoom(*candidate.server, m_settings.loadLimit, now))
+        if (!chosen && hasRoom(route, *candidate.server, now))
             chosen = candidate.server;
     }
     // Without a choice between regions there is no move to slow down.
@@ -125,13 +121,24 @@
     return {nullptr, SelectionReason::Overloaded};
 }
 
-Selection ServerSelector::pickAny(const std::vector<Candidate> &ranked, core::Instant now) const
+Selection ServerSelector::pickAny(const Route &route, const std::vector<Candidate> &ranked,
+                                  core::Instant now) const
 {
     for (const Candidate &candidate : ranked) {
-        if (hasRoom(*candidate.server, m_settings.loadLimit, now))
+        if (hasRoom(route, *candidate.server, now))
             return {candidate.server, SelectionReason::Alternative};
     }
     return {nullptr, SelectionReason::Overloaded};
 }
 
+bool ServerSelector::hasRoom(const Route &route, const BackendState &server,
+                             core::Instant now) const
+{
+    const double load = server.load(now) / server.server().slots;
+    if (load < m_settings.smallestLoadLimit)
+        return true;
+    return load < m_settings.largestLoadLimit
+            && server.expectedLatency(now) < route.latencyObjective * m_settings.objectiveShare;
+}
+
 } // namespace sardinehollow::routing
--- a/modules/sardinehollow_routing/selection/ServerSelector.h
+++ b/modules/sardinehollow_routing/selection/ServerSelector.h
@@ -39,8 +39,12 @@
     bool mayRun(const Route &route, const BackendState &server) const;
     /** Leaves out servers that failed lately and cold ones that bear nothing more now. */
     std::vector<Candidate> usable(const std::vector<Candidate> &ranked, core::Instant now) const;
-    Selection pickHome(const std::vector<Candidate> &ranked, core::Instant now);
-    Selection pickAny(const std::vector<Candidate> &ranked, core::Instant now) const;
+    Selection pickHome(const Route &route, const std::vector<Candidate> &ranked,
+                       core::Instant now);
+    Selection pickAny(const Route &route, const std::vector<Candidate> &ranked,
+                      core::Instant now) const;
+    /** Whether a request sent to the server now would most likely be answered in time. */
+    bool hasRoom(const Route &route, const BackendState &server, core::Instant now) const;
 
     const BackendRegistry &m_registry;
     const SelectionSettings m_settings;
--- a/modules/sardinehollow_routing/state/RoutingState.cpp
+++ b/modules/sardinehollow_routing/state/RoutingState.cpp
@@ -4,10 +4,11 @@
 
 namespace sardinehollow::routing {
 
-RoutingState::RoutingState(RoutingSettings settings, core::RandomSource &random)
-    : m_random(random)
-    , m_backends(std::move(settings.regions))
-    , m_selector(m_backends, std::move(settings.selection))
+RoutingState::RoutingState(const RoutingSettings &settings, core::RandomSource &random)
+    : m_region(settings.selection.region)
+    , m_random(random)
+    , m_backends(settings.regions)
+    , m_selector(m_backends, settings.selection)
     , m_retries(settings.retries)
 { }
 
@@ -42,20 +43,20 @@
                                std::uint64_t objectHash, const std::set<std::string> &tried,
                                core::Instant now)
 {
-    limitColdServers(service, now);
+    shareServers(service, now);
     return m_selector.choose(route, service, objectHash, tried, now);
 }
 
-void RoutingState::limitColdServers(const std::string &service, core::Instant now)
+void RoutingState::shareServers(const std::string &service, core::Instant now)
 {
     const ServicePolicy *policy = m_table ? m_table->service(service) : nullptr;
-    if (!policy || policy->coldRequestsPerSecond <= 0)
-        return;
-    const double share
-            = policy->coldRequestsPerSecond / static_cast<double>(m_entries.fleetSize());
+    const double coldRate = policy ? policy->coldRequestsPerSecond : 0;
+    const std::size_t senders = m_entries.countIn(m_region);
     for (const BackendStatePtr &server : m_backends.servers(service)) {
-        if (server->isCold(now))
-            server->coldPermits().setLimits(share, 1);
+        server->setSenders(senders);
+        if (coldRate > 0 && server->isCold(now))
+            server->coldPermits().setLimits(
+                    coldRate / static_cast<double>(m_entries.fleetSize()), 1);
     }
 }
 
--- a/modules/sardinehollow_routing/state/RoutingState.h
+++ b/modules/sardinehollow_routing/state/RoutingState.h
@@ -20,7 +20,7 @@
 class RoutingState
 {
 public:
-    RoutingState(RoutingSettings settings, core::RandomSource &random);
+    RoutingState(const RoutingSettings &settings, core::RandomSource &random);
 
     /** Takes over a configuration; one that is not newer is ignored, and false returned. */
     bool adopt(RoutingConfiguration configuration);
@@ -43,8 +43,10 @@
     bool takeRetry(const std::string &service, core::Instant now);
 
 private:
-    void limitColdServers(const std::string &service, core::Instant now);
+    /** Tells the servers of a service how many daemons share them. */
+    void shareServers(const std::string &service, core::Instant now);
 
+    const std::string m_region;
     core::RandomSource &m_random;
     RouteTablePtr m_table;
     BackendRegistry m_backends;
