--- a/modules/sardinehollow_gateway/application/GatewaySettingsReader.cpp
+++ b/modules/sardinehollow_gateway/application/GatewaySettingsReader.cpp
@@ -47,6 +47,7 @@
     settings.storeAddress = reader.text("storeAddress");
     settings.routing.regions = readRegions(reader);
     settings.routing.selection.region = settings.self.region;
+    settings.routing.selection.failureDomain = settings.self.failureDomain;
     settings.routing.retries.ratio = reader.number("retryRatio", 0, 1);
     settings.routing.retries.allowance = reader.number("retryAllowance", 0, mostRetries);
     settings.routing.retries.window = seconds(reader, "retryWindowSeconds", 0.1);
--- a/modules/sardinehollow_routing/selection/SelectionSettings.h
+++ b/modules/sardinehollow_routing/selection/SelectionSettings.h
@@ -10,6 +10,8 @@
 {
     /** Region of the daemon. */
     std::string region;
+    /** Failure domain of the daemon. */
+    std::string failureDomain;
     /** Servers of the own region that share the requests for an object. */
     std::size_t nearHomes = 1;
     /** Servers of other regions that take what the near ones cannot. */
--- a/modules/sardinehollow_routing/selection/ServerSelector.cpp
+++ b/modules/sardinehollow_routing/selection/ServerSelector.cpp
@@ -47,12 +47,18 @@
     for (const BackendStatePtr &server : m_registry.servers(service)) {
         if (!mayRun(route, *server) || tried.count(server->server().id) > 0)
             continue;
+        // Large responses cost more on their way between failure domains than the run of a request
+        // on a server that does not know its object yet.
+        const bool isInDomain = route.isBulk
+                && server->server().failureDomain == m_settings.failureDomain;
         ranked.push_back({server, rendezvousScore(objectHash, *server),
-                          server->region() == m_settings.region});
+                          server->region() == m_settings.region, isInDomain});
     }
     std::sort(ranked.begin(), ranked.end(), [](const Candidate &first, const Candidate &second) {
         if (first.isNear != second.isNear)
             return first.isNear;
+        if (first.isInDomain != second.isInDomain)
+            return first.isInDomain;
         return first.score > second.score;
     });
     return ranked;
--- a/modules/sardinehollow_routing/selection/ServerSelector.h
+++ b/modules/sardinehollow_routing/selection/ServerSelector.h
@@ -31,6 +31,8 @@
         BackendStatePtr server;
         double score = 0;
         bool isNear = false;
+        /** Preferred for being in the own failure domain. */
+        bool isInDomain = false;
     };
 
     std::vector<Candidate> candidates(const Route &route, const std::string &service,
