Choose by object what leaves a region, by a share that moves slowly

Now the objects below a level, which rises while the region has no room and falls slowly, go to another region as a whole. Ruled out: spilling request by request, with and without a limit on its change.

--- a/modules/sardinehollow_routing/selection/SelectionSettings.h
+++ b/modules/sardinehollow_routing/selection/SelectionSettings.h
@@ -22,8 +22,6 @@
     double smallestLoadLimit = 1.0;
     /** Load in slots above which a server gets nothing more: its queue would be full. */
     double largestLoadLimit = 3.5;
-    /** Largest change a second of the share of requests that leave the region; 0 to 1. */
-    double spillChangePerSecond = 0.06;
 };
 
 } // namespace sardinehollow::routing
--- a/modules/sardinehollow_routing/selection/ServerSelector.cpp
+++ b/modules/sardinehollow_routing/selection/ServerSelector.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+// Makes the choice of the objects that leave a region independent of the choice of their servers.
+constexpr std::uint64_t spillSalt = 0x5b1d;
 // Keeps the logarithm of the rendezvous score finite.
 constexpr double smallestUnit = 1e-12;
 
@@ -25,7 +27,6 @@
 ServerSelector::ServerSelector(const BackendRegistry &registry, SelectionSettings settings)
     : m_registry(registry)
     , m_settings(std::move(settings))
-    , m_ramp(m_settings.spillChangePerSecond)
 { }
 
 Selection ServerSelector::choose(const Route &route, const std::string &service,
@@ -36,7 +37,7 @@
     if (ranked.empty())
         return {nullptr, SelectionReason::NoServer};
     const std::vector<Candidate> fit = usable(ranked, now);
-    return tried.empty() ? pickHome(route, fit, now) : pickAny(route, fit, now);
+    return tried.empty() ? pickHome(route, service, objectHash, fit, now) : pickAny(route, fit, now);
 }
 
 std::vector<ServerSelector::Candidate>
@@ -92,7 +93,8 @@
     return fit;
 }
 
-Selection ServerSelector::pickHome(const Route &route, const std::vector<Candidate> &ranked,
+Selection ServerSelector::pickHome(const Route &route, const std::string &service,
+                                   std::uint64_t objectHash, const std::vector<Candidate> &ranked,
                                    core::Instant now)
 {
     BackendStatePtr near;
@@ -110,20 +112,23 @@
         if (!chosen && hasRoom(route, *candidate.server, now))
             chosen = candidate.server;
     }
+    bool prefersFar = false;
     // Without a choice between regions there is no move to slow down.
     if (hasNear && hasFar) {
-        const SpillRamp::Advice advice = m_ramp.advise(!near, now);
-        if (advice == SpillRamp::Advice::Stay)
+        SpillRamp &ramp = m_ramps[service];
+        const double position = core::hashToUnit(core::combineHashes(objectHash, spillSalt));
+        prefersFar = position < ramp.level(now) && !route.isBulk;
+        if (!prefersFar)
+            ramp.observe(near != nullptr, now);
+        if (!prefersFar && !near && !ramp.mayOverflow())
             far = nullptr;
-        if (advice == SpillRamp::Advice::Leave && far)
-            near = nullptr;
         if (near || far)
-            m_ramp.onSent(!near, now);
+            ramp.onSent(!near || (prefersFar && far), now);
     }
+    if (far && (prefersFar || !near))
+        return {far, SelectionReason::FarHome};
     if (near)
         return {near, SelectionReason::NearHome};
-    if (far)
-        return {far, SelectionReason::FarHome};
     return {nullptr, SelectionReason::Overloaded};
 }
 
--- a/modules/sardinehollow_routing/selection/ServerSelector.h
+++ b/modules/sardinehollow_routing/selection/ServerSelector.h
@@ -6,6 +6,7 @@
 #include "sardinehollow_routing/selection/SpillRamp.h"
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -41,8 +42,8 @@
     bool mayRun(const Route &route, const BackendState &server) const;
     /** Leaves out servers that failed lately and cold ones that bear nothing more now. */
     std::vector<Candidate> usable(const std::vector<Candidate> &ranked, core::Instant now) const;
-    Selection pickHome(const Route &route, const std::vector<Candidate> &ranked,
-                       core::Instant now);
+    Selection pickHome(const Route &route, const std::string &service, std::uint64_t objectHash,
+                       const std::vector<Candidate> &ranked, core::Instant now);
     Selection pickAny(const Route &route, const std::vector<Candidate> &ranked,
                       core::Instant now) const;
     /** Whether a request sent to the server now would most likely be answered in time. */
@@ -50,7 +51,8 @@
 
     const BackendRegistry &m_registry;
     const SelectionSettings m_settings;
-    SpillRamp m_ramp;
+    /** By service. */
+    std::map<std::string, SpillRamp> m_ramps;
 };
 
 } // namespace sardinehollow::routing
--- a/modules/sardinehollow_routing/selection/SpillRamp.cpp
+++ b/modules/sardinehollow_routing/selection/SpillRamp.cpp
@@ -7,13 +7,20 @@
 
 namespace {
 
-// Times over which the wanted and the actual share are averaged.
-constexpr double wantedSeconds = 0.5;
+// Largest change of the level in a second. The platform's rules allow 0.15 in 2 s.
+constexpr double risePerSecond = 0.06;
+// Servers near are tried again more slowly than they are relieved.
+constexpr double fallPerSecond = 0.03;
+// The level rises while more than this share of the requests finds no room, and falls below half
+// of it.
+constexpr double acceptedOverflow = 0.04;
+// Times over which shares are averaged.
+constexpr double overflowSeconds = 0.5;
 constexpr double sentSeconds = 1.0;
 // A daemon without a past is free for this time; what it did then is where its ramp starts.
 constexpr core::Duration settlingTime = std::chrono::seconds(2);
-// How far the actual share may lie off the level before requests are steered.
-constexpr double tolerance = 0.02;
+// How far the share of requests that left may lie above the level.
+constexpr double overflowTolerance = 0.04;
 
 double averaged(double average, double sample, core::Instant last, core::Instant now,
                 double seconds)
@@ -26,48 +33,50 @@
 
 } // namespace
 
-SpillRamp::SpillRamp(double changePerSecond)
-    : m_changePerSecond(changePerSecond)
-{ }
+bool SpillRamp::isSettling(core::Instant now) const
+{
+    return now - m_firstAt < settlingTime;
+}
 
-SpillRamp::Advice SpillRamp::advise(bool wantsToLeave, core::Instant now)
+double SpillRamp::level(core::Instant now)
 {
     if (m_firstAt.count() == 0) {
         m_firstAt = now;
-        m_advisedAt = now;
+        m_observedAt = now;
         m_sentAt = now;
     }
-    m_wanted = averaged(m_wanted, wantsToLeave ? 1 : 0, m_advisedAt, now, wantedSeconds);
-    follow(now);
-    if (now - m_firstAt < settlingTime)
-        return Advice::Free;
-    if (wantsToLeave)
-        return m_sent > m_level + tolerance ? Advice::Stay : Advice::Free;
-    return m_sent < m_level - tolerance ? Advice::Leave : Advice::Free;
+    const double elapsed = std::chrono::duration<double>(now - m_levelAt).count();
+    m_levelAt = now;
+    if (isSettling(now))
+        return m_level;
+    if (m_overflow > acceptedOverflow)
+        m_level = std::min(1.0, m_level + risePerSecond * elapsed);
+    else if (m_overflow < acceptedOverflow / 2)
+        m_level = std::max(0.0, m_level - fallPerSecond * elapsed);
+    return m_level;
 }
 
-void SpillRamp::follow(core::Instant now)
+void SpillRamp::observe(bool hadRoom, core::Instant now)
 {
-    const double elapsed = std::chrono::duration<double>(now - m_advisedAt).count();
-    m_advisedAt = now;
-    if (now - m_firstAt < settlingTime)
-        return;
-    const double step = m_changePerSecond * elapsed;
-    m_level += std::clamp(m_wanted - m_level, -step, step);
+    m_overflow = averaged(m_overflow, hadRoom ? 0 : 1, m_observedAt, now, overflowSeconds);
+    m_observedAt = now;
+}
+
+bool SpillRamp::mayOverflow() const
+{
+    return isSettling(m_observedAt) || m_sent < m_level + overflowTolerance;
 }
 
 void SpillRamp::onSent(bool hasLeft, core::Instant now)
 {
-    if (now - m_firstAt < settlingTime) {
-        ++m_settlingSent;
-        m_settlingLeft += hasLeft ? 1 : 0;
-        m_level = static_cast<double>(m_settlingLeft) / static_cast<double>(m_settlingSent);
-        m_sent = m_level;
-        m_sentAt = now;
-        return;
-    }
     m_sent = averaged(m_sent, hasLeft ? 1 : 0, m_sentAt, now, sentSeconds);
     m_sentAt = now;
+    if (!isSettling(now))
+        return;
+    ++m_settlingSent;
+    m_settlingLeft += hasLeft ? 1 : 0;
+    m_level = static_cast<double>(m_settlingLeft) / static_cast<double>(m_settlingSent);
+    m_sent = m_level;
 }
 
 } // namespace sardinehollow::routing
