--- a/modules/sardinehollow_platform/etcd/Base64.cpp
+++ b/modules/sardinehollow_core/encoding/Base64.cpp
@@ -1,4 +1,4 @@
-#include "sardinehollow_platform/etcd/Base64.h"
+#include "sardinehollow_core/encoding/Base64.h"
 
 #include <Poco/Base64Decoder.h>
 #include <Poco/Base64Encoder.h>
@@ -6,7 +6,7 @@
 #include <iterator>
 #include <sstream>
 
-namespace sardinehollow::platform {
+namespace sardinehollow::core {
 
 std::string toBase64(const std::string &bytes)
 {
@@ -25,4 +25,4 @@
     return {std::istreambuf_iterator<char>(decoder), std::istreambuf_iterator<char>()};
 }
 
-} // namespace sardinehollow::platform
+} // namespace sardinehollow::core
--- a/modules/sardinehollow_platform/etcd/EtcdJson.cpp
+++ b/modules/sardinehollow_platform/etcd/EtcdJson.cpp
@@ -1,6 +1,6 @@
 #include "sardinehollow_platform/etcd/EtcdJson.h"
 
-#include "sardinehollow_platform/etcd/Base64.h"
+#include "sardinehollow_core/encoding/Base64.h"
 
 #include <Poco/JSON/Array.h>
 
@@ -14,8 +14,8 @@
 KeyValue toKeyValue(const Object &object)
 {
     KeyValue keyValue;
-    keyValue.key = fromBase64(object.optValue<std::string>("key", ""));
-    keyValue.value = fromBase64(object.optValue<std::string>("value", ""));
+    keyValue.key = core::fromBase64(object.optValue<std::string>("key", ""));
+    keyValue.value = core::fromBase64(object.optValue<std::string>("value", ""));
     keyValue.modRevision = integerField(object, "mod_revision");
     keyValue.lease = integerField(object, "lease");
     return keyValue;
@@ -24,7 +24,7 @@
 Object::Ptr compareObject(const Compare &condition)
 {
     Object::Ptr object = new Object;
-    object->set("key", toBase64(condition.key));
+    object->set("key", core::toBase64(condition.key));
     object->set("target", "MOD");
     object->set("result", "EQUAL");
     object->set("mod_revision", std::to_string(condition.modRevision));
@@ -34,13 +34,13 @@
 Object::Ptr writeObject(const Write &write)
 {
     Object::Ptr request = new Object;
-    request->set("key", toBase64(write.key));
+    request->set("key", core::toBase64(write.key));
     Object::Ptr operation = new Object;
     if (!write.value) {
         operation->set("request_delete_range", request);
         return operation;
     }
-    request->set("value", toBase64(*write.value));
+    request->set("value", core::toBase64(*write.value));
     if (write.lease != 0)
         request->set("lease", std::to_string(write.lease));
     operation->set("request_put", request);
@@ -64,9 +64,9 @@
 
 void setRange(Object &request, const std::string &key, bool isPrefix)
 {
-    request.set("key", toBase64(key));
+    request.set("key", core::toBase64(key));
     if (isPrefix)
-        request.set("range_end", toBase64(prefixEnd(key)));
+        request.set("range_end", core::toBase64(prefixEnd(key)));
 }
 
 Object::Ptr transactionRequest(const std::vector<Compare> &conditions,
--- a/modules/sardinehollow_platform/http/JsonClient.cpp
+++ b/modules/sardinehollow_platform/http/JsonClient.cpp
@@ -104,6 +104,9 @@
         body->stringify(text);
         request.setContentType("application/json");
         request.setContentLength64(static_cast<Poco::Int64>(text.str().size()));
+    } else if (method != HTTPRequest::HTTP_GET) {
+        // Without a length some servers wait for a body.
+        request.setContentLength(0);
     }
     ConnectionPtr connection = takeIdle();
     if (!connection) {
--- a/modules/sardinehollow_routing/budgets/RetryBudget.h
+++ b/modules/sardinehollow_routing/budgets/RetryBudget.h
@@ -29,8 +29,6 @@
     bool take(const std::string &service, core::Instant now);
 
 private:
-    TokenBucket &bucket(const std::string &service);
-
     const RetryBudgetSettings m_settings;
     std::map<std::string, TokenBucket> m_buckets;
 };
--- a/modules/sardinehollow_standin/control/HandlerFactory.h
+++ b/modules/sardinehollow_standin/control/HandlerFactory.h
@@ -11,7 +11,8 @@
 class HandlerFactory : public Poco::Net::HTTPRequestHandlerFactory
 {
 public:
-    using Maker = std::function<Poco::Net::HTTPRequestHandler *()>;
+    using Maker
+            = std::function<Poco::Net::HTTPRequestHandler *(const Poco::Net::HTTPServerRequest &)>;
 
     explicit HandlerFactory(Maker maker)
         : m_maker(std::move(maker))
@@ -20,8 +21,7 @@
     Poco::Net::HTTPRequestHandler *
     createRequestHandler(const Poco::Net::HTTPServerRequest &request) override
     {
-        (void)request;
-        return m_maker();
+        return m_maker(request);
     }
 
 private:
--- a/modules/sardinehollow_standin/control/Standin.cpp
+++ b/modules/sardinehollow_standin/control/Standin.cpp
@@ -4,6 +4,7 @@
 #include "sardinehollow_standin/control/ControlHandler.h"
 #include "sardinehollow_standin/control/HandlerFactory.h"
 #include "sardinehollow_standin/platform/EtcdHandler.h"
+#include "sardinehollow_standin/platform/KvHandler.h"
 
 namespace sardinehollow::standin {
 
@@ -24,16 +25,24 @@
         m_backendServers.emplace_back(backend, m_runLog, m_clock, settings.seed);
     m_platformListener = std::make_unique<Listener>(
             settings.platformAddress, m_threads,
-            new HandlerFactory([this] { return new EtcdHandler(m_platform); }));
+            new HandlerFactory([this](const Poco::Net::HTTPServerRequest &request)
+                                       -> Poco::Net::HTTPRequestHandler * {
+                if (KvHandler::serves(request.getURI()))
+                    return new KvHandler(m_platform);
+                return new EtcdHandler(m_platform);
+            }));
     m_platform.silence = &m_platformListener->silence();
     m_faults = std::make_unique<FaultSwitches>(m_platform, *m_platformListener, m_backendServers);
     for (BackendState &state : m_backendServers) {
         state.listener = std::make_unique<Listener>(
                 state.settings.address, m_threads,
-                new HandlerFactory([&state] { return new BackendHandler(state); }));
+                new HandlerFactory([&state](const Poco::Net::HTTPServerRequest &) {
+                    return new BackendHandler(state);
+                }));
     }
     m_controlListener = std::make_unique<Listener>(
-            settings.controlAddress, m_threads, new HandlerFactory([this] {
+            settings.controlAddress, m_threads,
+            new HandlerFactory([this](const Poco::Net::HTTPServerRequest &) {
                 return new ControlHandler(m_platform, *m_faults, m_runLog, m_backendServers);
             }));
 }
--- a/modules/sardinehollow_standin/platform/EtcdHandler.cpp
+++ b/modules/sardinehollow_standin/platform/EtcdHandler.cpp
@@ -1,9 +1,8 @@
 #include "sardinehollow_standin/platform/EtcdHandler.h"
 
+#include "sardinehollow_core/encoding/Base64.h"
 #include "sardinehollow_standin/server/CallerSocket.h"
 
-#include <Poco/Base64Decoder.h>
-#include <Poco/Base64Encoder.h>
 #include <Poco/JSON/Parser.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
@@ -25,21 +24,9 @@
 constexpr std::chrono::milliseconds watchPoll {100};
 constexpr std::chrono::milliseconds silencePoll {10};
 
-std::string encode(const std::string &bytes)
-{
-    std::ostringstream text;
-    Poco::Base64Encoder encoder(text);
-    encoder.rdbuf()->setLineLength(0);
-    encoder << bytes;
-    encoder.close();
-    return text.str();
-}
-
 std::string decode(const Object &object, const std::string &field)
 {
-    std::istringstream input(object.optValue<std::string>(field, ""));
-    Poco::Base64Decoder decoder(input);
-    return {std::istreambuf_iterator<char>(decoder), std::istreambuf_iterator<char>()};
+    return core::fromBase64(object.optValue<std::string>(field, ""));
 }
 
 std::int64_t integer(const Object &object, const std::string &field)
@@ -60,8 +47,8 @@
 Object::Ptr toObject(const std::string &key, const StoredValue &stored)
 {
     Object::Ptr object = new Object;
-    object->set("key", encode(key));
-    object->set("value", encode(stored.value));
+    object->set("key", core::toBase64(key));
+    object->set("value", core::toBase64(stored.value));
     object->set("create_revision", std::to_string(stored.createRevision));
     object->set("mod_revision", std::to_string(stored.modRevision));
     object->set("version", std::to_string(stored.version));
@@ -167,16 +154,15 @@
 
 EtcdHandler::EtcdHandler(PlatformState &state)
     : m_state(state)
+    , m_gate(state)
 { }
 
 void EtcdHandler::handleRequest(Poco::Net::HTTPServerRequest &request,
                                 Poco::Net::HTTPServerResponse &response)
 {
-    const std::string connection = request.clientAddress().toString();
-    m_state.silence->see(connection);
     std::string text;
     Poco::StreamCopier::copyToString(request.stream(), text);
-    if (!waitForTurn(request)) {
+    if (!m_gate.waitForTurn(request)) {
         closeConnection(request);
         return;
     }
@@ -191,18 +177,6 @@
     }
 }
 
-bool EtcdHandler::waitForTurn(Poco::Net::HTTPServerRequest &request)
-{
-    const std::string connection = request.clientAddress().toString();
-    std::this_thread::sleep_for(std::chrono::milliseconds(m_state.delayMilliseconds.load()));
-    while (m_state.silence->isSilent(connection)) {
-        if (m_state.stopping || hasLeft(request))
-            return false;
-        std::this_thread::sleep_for(silencePoll);
-    }
-    return !m_state.stopping;
-}
-
 void EtcdHandler::serve(Poco::Net::HTTPServerRequest &request,
                         Poco::Net::HTTPServerResponse &response, const std::string &text)
 {
@@ -218,8 +192,7 @@
     const auto body = parser.parse(text).extract<Object::Ptr>();
     m_state.calls.count(kindOf(path), purposeOf(keyOf(*body)));
     const bool isWrite = writes(path, *body);
-    if (!(isWrite ? m_state.writes : m_state.reads).admit()) {
-        m_state.calls.countRefused();
+    if (!m_gate.admit(isWrite)) {
         refuse(response, HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "too many requests");
         return;
     }
@@ -228,21 +201,13 @@
         return;
     }
     const Object::Ptr reply = answer(path, *body);
-    if (isWrite && takeLostReply()) {
+    if (isWrite && m_gate.takeLostReply()) {
         closeConnection(request);
         return;
     }
     sendJson(response, *reply);
 }
 
-bool EtcdHandler::takeLostReply()
-{
-    int left = m_state.lostReplies;
-    while (left > 0 && !m_state.lostReplies.compare_exchange_weak(left, left - 1))
-        continue;
-    return left > 0;
-}
-
 void EtcdHandler::checkSize(const std::string &value) const
 {
     if (value.size() > m_state.maxValueBytes)
--- a/modules/sardinehollow_standin/platform/EtcdHandler.h
+++ b/modules/sardinehollow_standin/platform/EtcdHandler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sardinehollow_standin/platform/CallGate.h"
 #include "sardinehollow_standin/platform/PlatformState.h"
 
 #include <Poco/JSON/Object.h>
@@ -22,14 +23,12 @@
     Poco::JSON::Object::Ptr transact(const Poco::JSON::Object &body);
     void watch(const Poco::JSON::Object &body, Poco::Net::HTTPServerRequest &request,
                Poco::Net::HTTPServerResponse &response);
-    /** Applies slowness and silence; returns whether the call is to be served. */
-    bool waitForTurn(Poco::Net::HTTPServerRequest &request);
     void serve(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
                const std::string &text);
-    bool takeLostReply();
     void checkSize(const std::string &value) const;
 
     PlatformState &m_state;
+    CallGate m_gate;
 };
 
 } // namespace sardinehollow::standin
--- /dev/null
+++ b/modules/sardinehollow_standin/platform/KvHandler.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "sardinehollow_standin/platform/CallGate.h"
+#include "sardinehollow_standin/platform/PlatformState.h"
+
+#include <Poco/JSON/Object.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+
+#include <map>
+#include <string>
+
+namespace sardinehollow::standin {
+
+/** Serves the users' platform's key-value calls from the platform's state. */
+class KvHandler : public Poco::Net::HTTPRequestHandler
+{
+public:
+    explicit KvHandler(PlatformState &state);
+
+    /** Whether a request target belongs to this interface. */
+    static bool serves(const std::string &target);
+
+    void handleRequest(Poco::Net::HTTPServerRequest &request,
+                       Poco::Net::HTTPServerResponse &response) override;
+
+private:
+    struct Answer
+    {
+        int status = 200;
+        Poco::JSON::Object::Ptr body;
+    };
+    using Query = std::map<std::string, std::string>;
+
+    Answer serve(const std::string &path, const Query &query, const std::string &text);
+    Answer readKey(const std::string &key);
+    Answer readPrefix(const Query &query);
+    Answer watch(const Query &query);
+    Answer transact(const Poco::JSON::Object &body);
+    Answer keepLease(std::int64_t id);
+
+    PlatformState &m_state;
+    CallGate m_gate;
+};
+
+} // namespace sardinehollow::standin
--- /dev/null
+++ b/tests/adapter/GatewayContractTest.cpp
@@ -0,0 +1,265 @@
+#include "adapter/GatewayFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sardinehollow;
+using namespace std::chrono_literals;
+using tests::GatewayFixture;
+using tests::RawServer;
+using Reply = RawServer::Reply;
+
+namespace {
+
+const std::string routes = GatewayFixture::route("safe", "safe") + ","
+        + GatewayFixture::route("unsafe", "unsafe") + ","
+        + GatewayFixture::route("download", "download") + ","
+        + GatewayFixture::route("short", "safe", 0.3);
+
+Reply shed(const std::string &head)
+{
+    return {"HTTP/1.1 503 Busy\r\nAttempt-Id: " + GatewayFixture::fieldOf(head, "Attempt-Id")
+            + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
+}
+
+std::size_t countOf(const RawServer &server, const std::string &target)
+{
+    std::size_t count = 0;
+    for (const std::string &head : server.heads())
+        count += head.find(target) != std::string::npos ? 1 : 0;
+    return count;
+}
+
+} // namespace
+
+TEST_CASE("Requests are routed, addressed and answered unchanged")
+{
+    RawServer server([](const std::string &head) {
+        return Reply {GatewayFixture::answer(head, "body", "X-Kept: 1\r\n")};
+    });
+    GatewayFixture fixture;
+    fixture.putConfiguration(1, routes);
+    fixture.putServer("one", server);
+    fixture.start();
+    fixture.waitForServers();
+
+    const auto response = fixture.call("GET", "/safe/x?y=1", "id-1", "", 2000);
+    CHECK(response.status == 200);
+    CHECK(response.body == "body");
+    CHECK(response.head.get("Server-Seal", "") == "s");
+    CHECK(response.head.get("X-Kept", "") == "1");
+    const std::string head = server.heads().back();
+    CHECK(head.rfind("GET /safe/x?y=1 HTTP/1.1\r\n", 0) == 0);
+    CHECK(GatewayFixture::fieldOf(head, "Target-Instance") == "one");
+    const int left = std::stoi(GatewayFixture::fieldOf(head, "Deadline-Ms"));
+    CHECK(left <= 2000);
+    CHECK(left > 0);
+
+    CHECK(fixture.call("GET", "/nowhere/x", "id-2").status == 404);
+    const auto entries
+            = GatewayFixture::get(fixture.settings.directoryAddress,
+                                  "/sardinehollow/resolve?name=h.example&region=east&zone=east-a");
+    CHECK(entries.body.find(fixture.settings.self.address) != std::string::npos);
+}
+
+TEST_CASE("A response larger than the socket's buffers arrives whole")
+{
+    // Guards against ending a response when the network takes no more bytes for the moment.
+    const std::string large(3'000'000, 'x');
+    RawServer server([&large](const std::string &head) {
+        return Reply {GatewayFixture::answer(head, large)};
+    });
+    GatewayFixture fixture;
+    fixture.putConfiguration(1, routes);
+    fixture.putServer("one", server);
+    fixture.start();
+    fixture.waitForServers();
+    const auto response = fixture.call("GET", "/download/x", "id-1");
+    CHECK(response.status == 200);
+    CHECK(response.body.size() == large.size());
+}
+
+TEST_CASE("What a backend server does wrong never reaches a caller as a whole response")
+{
+    struct Row
+    {
+        const char *name;
+        RawServer::Script script;
+    };
+    const auto cut = [](const std::string &head) {
+        std::string bytes = GatewayFixture::answer(head, "0123456789");
+        bytes.resize(bytes.size() - 5);
+        return Reply {bytes, true};
+    };
+    const auto nothing = [](const std::string &) { return Reply {"", true}; };
+    const auto noise = [](const std::string &) { return Reply {"\x01\x02 noise\r\n\r\n", true}; };
+    const auto unsignedBody = [](const std::string &head) {
+        return Reply {"HTTP/1.1 200 OK\r\nAttempt-Id: "
+                      + GatewayFixture::fieldOf(head, "Attempt-Id")
+                      + "\r\nContent-Length: 2\r\n\r\nok"};
+    };
+    const Row row = GENERATE_COPY(values<Row>(
+            {{"cut", cut}, {"closed", nothing}, {"noise", noise}, {"unsigned", unsignedBody}}));
+    INFO(row.name);
+    RawServer server(row.script);
+    GatewayFixture fixture;
+    fixture.putConfiguration(1, routes);
+    fixture.putServer("one", server);
+    fixture.start();
+    fixture.waitForServers();
+    // It may have run, so that the daemon can neither repeat it nor say that it did not run.
+    CHECK(fixture.call("POST", "/unsafe/x", "id-1", "data").status == 502);
+    CHECK(countOf(server, "/unsafe/x") == 1);
+}
+
+TEST_CASE(
+        "An idempotent request is repeated on another server, an unsafe one only if it did not run")
+{
+    std::atomic<int> failures {0};
+    const auto broken = [&failures](const std::string &) {
+        ++failures;
+        return Reply {"", true};
+    };
+    const auto good
+            = [](const std::string &head) { return Reply {GatewayFixture::answer(head, "good")}; };
+    std::atomic<bool> isShedding {false};
+    const auto first
+            = [&](const std::string &head) { return isShedding ? shed(head) : broken(head); };
+    RawServer bad(first);
+    RawServer fine(good);
+    GatewayFixture fixture;
+    fixture.putConfiguration(1, routes);
+    fixture.putServer("bad", bad);
+    fixture.putServer("fine", fine);
+    fixture.start();
+    fixture.waitForServers(2);
+    // One of many objects has its home on the failing server.
+    int served = 0;
+    for (int index = 0; index < 4; ++index)
+        served += fixture.call("GET", "/safe/x", "id-" + std::to_string(index)).status == 200;
+    CHECK(served == 4);
+    isShedding = true;
+    CHECK(fixture.call("POST", "/unsafe/x", "id-9", "data").status == 200);
+}
+
+TEST_CASE("A late response to an earlier request is dropped")
+{
+    // Guards against a response that belongs to another request (an extra one that came late).
+    RawServer server([](const std::string &head) {
+        return Reply {"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nServer-Seal: s\r\n"
+                      "Content-Length: 5\r\n\r\nwrong"
+                      + GatewayFixture::answer(head, "right")};
+    });
+    GatewayFixture fixture;
+    fixture.putConfiguration(1, routes);
+    fixture.putServer("one", server);
+    fixture.start();
+    fixture.waitForServers();
+    const auto response = fixture.call("POST", "/unsafe/x", "id-1", "data");
+    CHECK(response.status == 200);
+    CHECK(response.body == "right");
+}
+
+TEST_CASE("A connection with bytes behind the response is not used again")
+{
+    RawServer server([](const std::string &head) {
+        return Reply {GatewayFixture::answer(head, "right") + "HTTP/1.1 200 OK\r\n"};
+    });
+    GatewayFixture fixture;
+    fixture.putConfiguration(1, routes);
+    fixture.putServer("one", server);
+    fixture.start();
+    fixture.waitForServers();
+    for (int index = 0; index < 3; ++index)
+        CHECK(fixture.call("GET", "/safe/x", "id-" + std::to_string(index)).body == "right");
+    CHECK(server.connectionCount() >= 3);
+}
+
+TEST_CASE("A full service refuses truthfully and says when to come back")
+{
+    RawServer server(shed);
+    GatewayFixture fixture;
+    fixture.putConfiguration(1, routes);
+    fixture.putServer("one", server);
+    fixture.start();
+    fixture.waitForServers();
+    const auto response = fixture.call("POST", "/unsafe/x", "id-1", "data");
+    CHECK(response.status == 503);
+    CHECK(response.head.has("Retry-After"));
+    CHECK_FALSE(response.head.has("Server-Seal"));
+}
+
+TEST_CASE("A request ends at its route's timeout, and its run is abandoned")
+{
+    RawServer server([](const std::string &) { return Reply {"", false, true}; });
+    GatewayFixture fixture;
+    fixture.putConfiguration(1, routes);
+    fixture.putServer("one", server);
+    fixture.start();
+    fixture.waitForServers();
+    CHECK(fixture.call("GET", "/short/x", "id-1").status == 504);
+    // The server sees a reset, which also drops what a partition may hold up.
+    while (server.abandonedCount() == 0)
+        std::this_thread::sleep_for(1ms);
+    CHECK(countOf(server, "/short/x") == 1);
+}
+
+TEST_CASE("A caller that leaves ends the run of its request")
+{
+    RawServer server([](const std::string &) { return Reply {"", false, true}; });
+    GatewayFixture fixture;
+    fixture.putConfiguration(1, routes);
+    fixture.putServer("one", server);
+    fixture.start();
+    fixture.waitForServers();
+    {
+        Poco::Net::StreamSocket caller {Poco::Net::SocketAddress(fixture.settings.self.address)};
+        const std::string request
+                = "GET /safe/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: id-1\r\n\r\n";
+        caller.sendBytes(request.data(), static_cast<int>(request.size()));
+        while (countOf(server, "/safe/x") == 0)
+            std::this_thread::sleep_for(1ms);
+    }
+    while (server.abandonedCount() == 0)
+        std::this_thread::sleep_for(1ms);
+}
+
+TEST_CASE("A newer configuration is in force, an older one is not")
+{
+    RawServer server(
+            [](const std::string &head) { return Reply {GatewayFixture::answer(head, "x")}; });
+    GatewayFixture fixture;
+    fixture.putConfiguration(5, routes);
+    fixture.putServer("one", server);
+    fixture.start();
+    fixture.waitForServers();
+    fixture.putConfiguration(6, routes + "," + GatewayFixture::route("added", "safe"));
+    while (fixture.call("GET", "/added/x", "id-1").status != 200)
+        std::this_thread::sleep_for(10ms);
+    fixture.putConfiguration(4, routes);
+    fixture.put("op/evacuate/east-a", "{}");
+    // The evacuation was written later, so that the older configuration has been seen by then.
+    while (fixture.call("GET", "/added/x", "id-2").status != 503)
+        std::this_thread::sleep_for(10ms);
+    CHECK(fixture.call("GET", "/added/x", "id-3").status == 503);
+}
+
+TEST_CASE("A leaving daemon serves on for a while, and then refuses without running anything")
+{
+    RawServer server(
+            [](const std::string &head) { return Reply {GatewayFixture::answer(head, "x")}; });
+    GatewayFixture fixture;
+    fixture.putConfiguration(1, routes);
+    fixture.putServer("one", server);
+    fixture.start();
+    fixture.waitForServers();
+    fixture.application->requestStop();
+    while (GatewayFixture::get(fixture.settings.readinessAddress, "/sardinehollow/ready").status
+           == 200)
+        std::this_thread::sleep_for(10ms);
+    const auto response = fixture.call("GET", "/safe/x", "id-1");
+    CHECK(response.status == 200);
+    CHECK(response.head.get("Connection", "") == "close");
+    const std::string entries
+            = GatewayFixture::get(fixture.settings.directoryAddress, "/sardinehollow/resolve").body;
+    CHECK(entries.find(fixture.settings.self.address) == std::string::npos);
+}
--- /dev/null
+++ b/tests/adapter/GatewayFixture.h
@@ -0,0 +1,202 @@
+#pragma once
+
+#include "adapter/RawServer.h"
+#include "platform/KvStore.h"
+#include "platform/PlatformProtocol.h"
+#include "platform/PlatformSchema.h"
+#include "sardinehollow_gateway/application/GatewayApplication.h"
+#include "support/StandinFixture.h"
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/StreamCopier.h>
+#include <spdlog/sinks/ostream_sink.h>
+
+#include <memory>
+#include <sstream>
+#include <string>
+#include <thread>
+
+namespace sardinehollow::tests {
+
+/** A daemon on loopback with the stand-in platform, for requests from a test. */
+class GatewayFixture
+{
+public:
+    struct Response
+    {
+        int status = 0;
+        std::string body;
+        Poco::Net::HTTPResponse head;
+    };
+
+    GatewayFixture()
+        : platformAddress(freeAddress())
+        , standin(settingsOf(platformAddress))
+        , store(platformAddress)
+        , settings(makeSettings(platformAddress))
+    { }
+
+    ~GatewayFixture()
+    {
+        if (application)
+            application->requestStop();
+        if (m_thread.joinable())
+            m_thread.join();
+    }
+
+    GatewayFixture(const GatewayFixture &) = delete;
+    GatewayFixture &operator=(const GatewayFixture &) = delete;
+
+    /** Writes a key as operators and backend servers do. */
+    void put(const std::string &key, const std::string &value)
+    {
+        store.transact(platform::CallPurpose::Operator, {}, {platform::Write {key, value, 0}});
+    }
+
+    void putConfiguration(int version, const std::string &routes)
+    {
+        put("op/config",
+            R"({"version":)" + std::to_string(version) + R"(,"routes":{)" + routes
+                    + R"(},"services":{"s":{"healthPath":"/h","maxConns":9,"coldPerS":13.0}},)"
+                      R"("limits":{"headerBytes":16384,"bodyBytes":1000000,"headerTimeoutS":3,)"
+                      R"("idleTimeoutS":15}})");
+    }
+
+    static std::string route(const std::string &name, const std::string &kind,
+                             double timeoutSeconds = 5)
+    {
+        return "\"" + name + R"(":{"host":"h.example","prefix":"/)" + name + R"(/","kind":")" + kind
+                + R"(","timeoutS":)" + std::to_string(timeoutSeconds)
+                + R"(,"targetLatencyS":1,"priority":1,"service":"s","maxAttempts":2,)"
+                  R"("sticky":true,"homeRegions":[]})";
+    }
+
+    void putServer(const std::string &id, const RawServer &server)
+    {
+        put("servers/" + id,
+            R"({"address":")" + server.address()
+                    + R"(","info":{"service":"s","version":"v1","zone":"east-a","slots":6},)"
+                      R"("status":{"state":"ready","seq":1,"coldLeftS":0}})");
+    }
+
+    void start()
+    {
+        application = std::make_unique<gateway::GatewayApplication>(
+                settings, protocol, schema, store,
+                std::make_shared<spdlog::sinks::ostream_sink_mt>(log));
+        m_thread = std::thread([this] { application->run(); });
+        while (get(settings.readinessAddress, "/sardinehollow/ready").status != 200)
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+
+    /** Waits until the daemon knows the given number of backend servers. */
+    void waitForServers(int count = 1)
+    {
+        const std::string line = "\nsardinehollow_backend_servers " + std::to_string(count) + "\n";
+        while (get(settings.metricsAddress, "/metrics").body.find(line) == std::string::npos)
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+
+    static Response get(const std::string &address, const std::string &target)
+    {
+        Poco::Net::HTTPRequest request("GET", target, "HTTP/1.1");
+        return send(address, request, "");
+    }
+
+    /** Sends a caller's request; a status of 0 means that no whole response came. */
+    Response call(const std::string &method, const std::string &target, const std::string &id,
+                  const std::string &body = "", int deadlineMilliseconds = 4000) const
+    {
+        Poco::Net::HTTPRequest request(method, target, "HTTP/1.1");
+        request.set("Host", "h.example");
+        request.set("Attempt-Id", id);
+        request.set("Cookie", "Affinity-Key=17");
+        request.set("Deadline-Ms", std::to_string(deadlineMilliseconds));
+        return send(settings.self.address, request, body);
+    }
+
+    static Response send(const std::string &address, Poco::Net::HTTPRequest &request,
+                         const std::string &body)
+    {
+        Response response;
+        try {
+            Poco::Net::HTTPClientSession session {Poco::Net::SocketAddress(address)};
+            if (!body.empty())
+                request.setContentLength64(static_cast<Poco::Int64>(body.size()));
+            session.sendRequest(request) << body;
+            std::istream &stream = session.receiveResponse(response.head);
+            Poco::StreamCopier::copyToString(stream, response.body);
+            const bool isCut = response.head.hasContentLength()
+                    && response.head.getContentLength64()
+                            != static_cast<Poco::Int64>(response.body.size());
+            response.status = isCut ? 0 : response.head.getStatus();
+        } catch (const Poco::Exception &) {
+            response.status = 0;
+        }
+        return response;
+    }
+
+    /** A backend server's complete response. */
+    static std::string answer(const std::string &head, const std::string &body,
+                              const std::string &fields = "")
+    {
+        return "HTTP/1.1 200 OK\r\nAttempt-Id: " + fieldOf(head, "Attempt-Id")
+                + "\r\nServer-Seal: s\r\n" + fields
+                + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    static std::string fieldOf(const std::string &head, const std::string &name)
+    {
+        const std::size_t start = head.find("\r\n" + name + ": ");
+        if (start == std::string::npos)
+            return {};
+        const std::size_t value = start + name.size() + 4;
+        return head.substr(value, head.find("\r\n", value) - value);
+    }
+
+    static std::string freeAddress()
+    {
+        return Poco::Net::ServerSocket(Poco::Net::SocketAddress("127.0.0.1:0"))
+                .address()
+                .toString();
+    }
+
+    const std::string platformAddress;
+    standin::Standin standin;
+    adapter::KvStore store;
+    gateway::GatewaySettings settings;
+    const adapter::PlatformProtocol protocol;
+    const adapter::PlatformSchema schema;
+    std::ostringstream log;
+    std::unique_ptr<gateway::GatewayApplication> application;
+
+private:
+    static standin::StandinSettings settingsOf(const std::string &address)
+    {
+        standin::StandinSettings settings = standinSettings();
+        settings.platformAddress = address;
+        return settings;
+    }
+
+    static gateway::GatewaySettings makeSettings(const std::string &storeAddress)
+    {
+        gateway::GatewaySettings settings;
+        settings.self = {"vm-1", freeAddress(), "east-a", "east"};
+        settings.readinessAddress = freeAddress();
+        settings.directoryAddress = freeAddress();
+        settings.metricsAddress = freeAddress();
+        settings.storeAddress = storeAddress;
+        settings.routing.regions = {{"east-a", "east"}, {"west-a", "west"}};
+        settings.routing.selection.region = "east";
+        settings.routing.selection.failureDomain = "east-a";
+        settings.routing.retries = {0.2, 60, std::chrono::seconds(10)};
+        settings.stopGrace = std::chrono::seconds(4);
+        return settings;
+    }
+
+    std::thread m_thread;
+};
+
+} // namespace sardinehollow::tests
--- /dev/null
+++ b/tests/adapter/KvStoreTest.cpp
@@ -0,0 +1,158 @@
+#include "platform/KvStore.h"
+#include "adapter/GatewayFixture.h"
+#include "support/StandinFixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <condition_variable>
+
+using namespace sardinehollow;
+using namespace std::chrono_literals;
+using core::ErrorKind;
+using platform::CallPurpose;
+using platform::Compare;
+using platform::KeyValue;
+using platform::Write;
+
+namespace {
+
+constexpr CallPurpose purpose = CallPurpose::Operator;
+
+class Events : public platform::WatchListener
+{
+public:
+    void onChanged(const std::vector<KeyValue> &keyValues, std::int64_t) override
+    {
+        const std::lock_guard lock(m_mutex);
+        m_changed.insert(m_changed.end(), keyValues.begin(), keyValues.end());
+        m_event.notify_all();
+    }
+
+    void onEnded(const core::Error &reason) override
+    {
+        const std::lock_guard lock(m_mutex);
+        m_end = reason;
+        m_event.notify_all();
+    }
+
+    /** Waits without limit; ctest's own time-out ends a watch that never reports. */
+    std::vector<KeyValue> waitFor(std::size_t count)
+    {
+        std::unique_lock lock(m_mutex);
+        m_event.wait(lock, [&] { return m_changed.size() >= count; });
+        return m_changed;
+    }
+
+    core::Error waitForEnd()
+    {
+        std::unique_lock lock(m_mutex);
+        m_event.wait(lock, [this] { return m_end.has_value(); });
+        return *m_end;
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_event;
+    std::vector<KeyValue> m_changed;
+    std::optional<core::Error> m_end;
+};
+
+struct Fixture
+{
+    Fixture()
+        : address(tests::GatewayFixture::freeAddress())
+        , standin(settings(address))
+        , store(address)
+    { }
+
+    static standin::StandinSettings settings(const std::string &address)
+    {
+        standin::StandinSettings settings = tests::standinSettings();
+        settings.platformAddress = address;
+        settings.historyLimit = 5;
+        return settings;
+    }
+
+    void put(const std::string &key, const std::string &value)
+    {
+        REQUIRE(store.transact(purpose, {}, {Write {key, value, 0}})->succeeded);
+    }
+
+    const std::string address;
+    standin::Standin standin;
+    adapter::KvStore store;
+};
+
+} // namespace
+
+TEST_CASE("All pages of a prefix are read, and bytes come back as they were")
+{
+    Fixture fixture;
+    const std::string bytes("\0\x01\xff&=", 5);
+    for (int index = 0; index < 120; ++index)
+        fixture.put("p/" + std::to_string(1000 + index), bytes);
+    fixture.put("q/other", "x");
+    const auto result = fixture.store.range(purpose, "p/", true);
+    REQUIRE(result);
+    CHECK(result->keyValues.size() == 120);
+    CHECK(result->keyValues.front().value == bytes);
+    const auto one = fixture.store.range(purpose, "q/other", false);
+    REQUIRE(one);
+    CHECK(one->keyValues.size() == 1);
+    CHECK(fixture.store.range(purpose, "q/none", false)->keyValues.empty());
+}
+
+TEST_CASE("A transaction whose condition fails changes nothing")
+{
+    Fixture fixture;
+    fixture.put("a", "1");
+    const auto refused = fixture.store.transact(purpose, {Compare {"a", 0}}, {Write {"a", "2", 0}});
+    REQUIRE(refused);
+    CHECK_FALSE(refused->succeeded);
+    const auto now = fixture.store.range(purpose, "a", false)->keyValues.front();
+    CHECK(now.value == "1");
+    CHECK(fixture.store
+                  .transact(purpose, {Compare {"a", now.modRevision}},
+                            {Write {"a", std::nullopt, 0}})
+                  ->succeeded);
+    CHECK(fixture.store.range(purpose, "a", false)->keyValues.empty());
+}
+
+TEST_CASE("A watch reports changes and removals in order")
+{
+    Fixture fixture;
+    fixture.put("w/a", "1");
+    Events events;
+    const auto revision = fixture.store.range(purpose, "w/", true)->revision;
+    const auto watch = fixture.store.watch(purpose, "w/", true, revision, events);
+    fixture.put("w/a", "2");
+    fixture.store.transact(purpose, {}, {Write {"w/a", std::nullopt, 0}});
+    const auto seen = events.waitFor(2);
+    CHECK(seen[0].value == "2");
+    CHECK_FALSE(seen[0].isDeleted);
+    CHECK(seen[1].isDeleted);
+}
+
+TEST_CASE("A watch from a forgotten revision ends, so that its owner reads anew")
+{
+    Fixture fixture;
+    for (int index = 0; index < 20; ++index)
+        fixture.put("w/a", std::to_string(index));
+    Events events;
+    const auto watch = fixture.store.watch(purpose, "w/", true, 1, events);
+    CHECK(events.waitForEnd().kind == ErrorKind::NotFound);
+}
+
+TEST_CASE("Leases keep keys, and an ended lease is told from a store that does not answer")
+{
+    Fixture fixture;
+    const auto lease = fixture.store.grantLease(purpose, 5s);
+    REQUIRE(lease);
+    fixture.store.transact(purpose, {}, {Write {"l/a", "1", lease->id}});
+    CHECK(fixture.store.keepAliveLease(purpose, lease->id));
+    CHECK(fixture.store.revokeLease(purpose, lease->id));
+    CHECK(fixture.store.range(purpose, "l/a", false)->keyValues.empty());
+    CHECK(fixture.store.keepAliveLease(purpose, lease->id).error().kind == ErrorKind::NotFound);
+    adapter::KvStore nowhere("127.0.0.1:1");
+    CHECK(nowhere.keepAliveLease(purpose, 1).error().kind == ErrorKind::Unreachable);
+}
--- /dev/null
+++ b/tests/gateway/HttpReadingTest.cpp
@@ -0,0 +1,115 @@
+#include "sardinehollow_core/http/HttpBodyFraming.h"
+#include "sardinehollow_gateway/http/BodyDecoder.h"
+#include "sardinehollow_gateway/http/HeadReader.h"
+#include "sardinehollow_gateway/http/MessageWriter.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sardinehollow;
+using gateway::BodyDecoder;
+using gateway::HeadStatus;
+using Kind = core::HttpBodyFraming::Kind;
+
+namespace {
+
+constexpr std::size_t limit = 1024;
+
+} // namespace
+
+TEST_CASE("Heads that two programs could read differently are rejected")
+{
+    // Guards against a request smuggled inside another one.
+    struct Row
+    {
+        const char *text;
+        HeadStatus status;
+    };
+    const Row row = GENERATE(values<Row>({
+            {"GET / HTTP/1.1\r\nHost: a\r\n\r\n", HeadStatus::Complete},
+            {"\r\nGET /x?y HTTP/1.0\r\n\r\n", HeadStatus::Complete},
+            {"GET / HTTP/1.1\r\nHost: a\r\n", HeadStatus::Incomplete},
+            {"GET / HTTP/1.1\r\nHost : a\r\n\r\n", HeadStatus::Malformed},
+            {"GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", HeadStatus::Malformed},
+            {"GET / HTTP/1.1\r\nA: b\nC: d\r\n\r\n", HeadStatus::Malformed},
+            {"GET / HTTP/1.1\r\nno colon\r\n\r\n", HeadStatus::Malformed},
+            {"GET  / HTTP/1.1\r\n\r\n", HeadStatus::Malformed},
+            {"GET / HTTP/2.0\r\n\r\n", HeadStatus::Malformed},
+            {"GET http://a/ HTTP/1.1\r\n\r\n", HeadStatus::Malformed},
+            {"(\r\n\r\n", HeadStatus::Malformed},
+    }));
+    INFO(row.text);
+    std::string buffer = row.text;
+    Poco::Net::HTTPRequest request;
+    CHECK(gateway::readHead(buffer, limit, request) == row.status);
+}
+
+TEST_CASE("A head beyond the limit is noticed before it is complete")
+{
+    std::string buffer = "GET / HTTP/1.1\r\nA: " + std::string(limit, 'x');
+    Poco::Net::HTTPRequest request;
+    CHECK(gateway::readHead(buffer, limit, request) == HeadStatus::TooLarge);
+}
+
+TEST_CASE("Ambiguous framing of a body is rejected")
+{
+    struct Row
+    {
+        const char *fields;
+        Kind kind;
+    };
+    const Row row = GENERATE(values<Row>({
+            {"Content-Length: 5\r\n", Kind::Fixed},
+            {"Transfer-Encoding: chunked\r\n", Kind::Chunked},
+            {"", Kind::None},
+            {"Content-Length: 5\r\nContent-Length: 6\r\n", Kind::Malformed},
+            {"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", Kind::Malformed},
+            {"Transfer-Encoding: gzip, chunked\r\n", Kind::Malformed},
+            {"Content-Length: +5\r\n", Kind::Malformed},
+    }));
+    INFO(row.fields);
+    std::string buffer = std::string("POST / HTTP/1.1\r\n") + row.fields + "\r\n";
+    Poco::Net::HTTPRequest request;
+    REQUIRE(gateway::readHead(buffer, limit, request) == HeadStatus::Complete);
+    CHECK(core::framingOf(request).kind == row.kind);
+}
+
+TEST_CASE("A chunked body is read whatever the cuts between its bytes")
+{
+    const std::string message = "5;x=y\r\nhello\r\n6\r\n world\r\n0\r\nT: 1\r\n\r\nnext";
+    for (std::size_t step = 1; step <= message.size(); ++step) {
+        BodyDecoder decoder({Kind::Chunked, 0});
+        std::string buffer;
+        std::string body;
+        BodyDecoder::Status status = BodyDecoder::Status::NeedsMore;
+        for (std::size_t position = 0; position < message.size(); position += step) {
+            buffer += message.substr(position, step);
+            if (status == BodyDecoder::Status::NeedsMore)
+                status = decoder.decode(buffer, body);
+        }
+        CHECK(status == BodyDecoder::Status::Done);
+        CHECK(body == "hello world");
+        CHECK(buffer == "next");
+    }
+}
+
+TEST_CASE("A chunk whose framing is broken is malformed")
+{
+    const char *text = GENERATE("x\r\n", "5\r\nhelloX\r\n", "-1\r\n", "0x5\r\nhello\r\n");
+    BodyDecoder decoder({Kind::Chunked, 0});
+    std::string buffer = text;
+    std::string body;
+    CHECK(decoder.decode(buffer, body) == BodyDecoder::Status::Malformed);
+}
+
+TEST_CASE("Fields of one connection are not passed on")
+{
+    Poco::Net::HTTPRequest request;
+    request.add("Connection", "close, X-Private");
+    request.add("X-Private", "1");
+    request.add("Keep-Alive", "timeout=5");
+    request.add("Transfer-Encoding", "chunked");
+    request.add("X-Kept", "2");
+    gateway::removeConnectionFields(request);
+    CHECK(request.size() == 1);
+    CHECK(request.has("X-Kept"));
+}
--- /dev/null
+++ b/tests/gateway/PrefixMirrorTest.cpp
@@ -0,0 +1,138 @@
+#include "sardinehollow_platform/mirror/PrefixMirror.h"
+#include "sardinehollow_platform/lease/LeasedKey.h"
+#include "support/FakeStore.h"
+
+#include <catch2/catch.hpp>
+
+#include <condition_variable>
+
+using namespace sardinehollow;
+using namespace std::chrono_literals;
+using platform::CallPurpose;
+using platform::KeyValue;
+
+namespace {
+
+// A store whose watches report only what the test passes on; a silent one reports nothing.
+class WatchableStore : public tests::FakeStore
+{
+public:
+    core::Result<std::unique_ptr<platform::Watch>> watch(CallPurpose, const std::string &, bool,
+                                                         std::int64_t afterRevision,
+                                                         platform::WatchListener &listener) override
+    {
+        const std::lock_guard lock(m_mutex);
+        m_listener = &listener;
+        m_after.push_back(afterRevision);
+        m_changed.notify_all();
+        return std::make_unique<platform::Watch>();
+    }
+
+    /** Waits without limit: ctest's own time-out ends a watch that never starts. */
+    platform::WatchListener &waitForWatch(std::size_t count)
+    {
+        std::unique_lock lock(m_mutex);
+        m_changed.wait(lock, [&] { return m_after.size() >= count; });
+        return *m_listener;
+    }
+
+    std::vector<std::int64_t> starts()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_after;
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    platform::WatchListener *m_listener = nullptr;
+    std::vector<std::int64_t> m_after;
+};
+
+class Recorder : public platform::MirrorListener
+{
+public:
+    void onSnapshot(const std::vector<KeyValue> &) override { ++snapshots; }
+    void onChanged(const std::vector<KeyValue> &) override { ++changes; }
+    void onStoreLost(const core::Error &) override { ++losses; }
+    void onStoreRegained() override { ++returns; }
+
+    std::atomic<int> snapshots {0};
+    std::atomic<int> changes {0};
+    std::atomic<int> losses {0};
+    std::atomic<int> returns {0};
+};
+
+const core::Error unavailable {core::ErrorKind::Unavailable, "gone", "wait"};
+const core::Error compacted {core::ErrorKind::NotFound, "compacted", "read again"};
+
+} // namespace
+
+TEST_CASE("A silent watch is started again when another call is not answered")
+{
+    // Guards against a daemon that missed configurations for 11 s after an outage of the store,
+    // because its waiting watch was lost without a sign.
+    WatchableStore store;
+    Recorder recorder;
+    platform::PrefixMirror mirror(store, CallPurpose::Configuration, "op/", recorder, 1);
+    platform::WatchListener &first = store.waitForWatch(1);
+    first.onChanged({KeyValue {"op/config", "x", 7}}, 7);
+    mirror.recheck();
+    platform::WatchListener &second = store.waitForWatch(2);
+    CHECK(store.starts().back() == 7);
+    CHECK(recorder.losses == 1);
+    second.onChanged({}, 7);
+    CHECK(recorder.returns == 1);
+    CHECK(recorder.snapshots == 1);
+}
+
+TEST_CASE("A watch that was cut goes on from where it was")
+{
+    WatchableStore store;
+    Recorder recorder;
+    platform::PrefixMirror mirror(store, CallPurpose::Servers, "servers/", recorder, 1);
+    platform::WatchListener &listener = store.waitForWatch(1);
+    listener.onChanged({KeyValue {"servers/a", "x", 3}}, 5);
+    listener.onEnded(unavailable);
+    store.waitForWatch(2);
+    CHECK(store.starts().back() == 5);
+    CHECK(recorder.snapshots == 1);
+}
+
+TEST_CASE("A store that forgot its history is read anew")
+{
+    WatchableStore store;
+    Recorder recorder;
+    platform::PrefixMirror mirror(store, CallPurpose::Servers, "servers/", recorder, 1);
+    store.waitForWatch(1).onEnded(compacted);
+    store.waitForWatch(2);
+    CHECK(recorder.snapshots == 2);
+    CHECK(recorder.losses == 0);
+}
+
+TEST_CASE("A key whose lease ended during an outage is written again")
+{
+    WatchableStore store;
+    std::mutex mutex;
+    std::condition_variable changed;
+    int failures = 0;
+    platform::LeasedKey key(store, CallPurpose::Entries, "entries/one", "value", 1s, 1,
+                            [&](const core::Error &) {
+                                const std::lock_guard lock(mutex);
+                                ++failures;
+                                changed.notify_all();
+                            });
+    const auto waitForKey = [&](bool isPresent) {
+        for (;;) {
+            const auto found = store.range(CallPurpose::Operator, "entries/one", false);
+            if (found && found->keyValues.empty() != isPresent)
+                return;
+            std::this_thread::sleep_for(1ms);
+        }
+    };
+    waitForKey(true);
+    store.advance(2s);
+    waitForKey(true);
+    key.release();
+    waitForKey(false);
+}
--- /dev/null
+++ b/tests/routing/ServerSelectorTest.cpp
@@ -0,0 +1,138 @@
+#include "routing/RoutingWorld.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sardinehollow;
+using routing::SelectionReason;
+using tests::RoutingWorld;
+
+namespace {
+
+constexpr std::uint64_t object = 4711;
+
+std::string serverOf(const routing::Selection &selection)
+{
+    return selection.server ? selection.server->server().id : "none";
+}
+
+} // namespace
+
+TEST_CASE("An object keeps its server when others come and go")
+{
+    // Guards against cold caches: a server runs requests for an object that it knows faster.
+    RoutingWorld world;
+    for (const char *id : {"a", "b", "c"})
+        world.add(id, "east-a");
+    std::map<std::uint64_t, std::string> homes;
+    for (std::uint64_t key = 0; key < 60; ++key)
+        homes[key] = serverOf(world.choose(key));
+    world.registry.remove("b");
+    for (const auto &[key, home] : homes) {
+        if (home == "b")
+            CHECK(serverOf(world.choose(key)) != "b");
+        else
+            CHECK(serverOf(world.choose(key)) == home);
+    }
+}
+
+TEST_CASE("Servers that must get nothing new are not chosen")
+{
+    RoutingWorld world;
+    world.add("only", "east-a");
+    SECTION("a draining server")
+    {
+        routing::BackendServer server = RoutingWorld::server("only", "east-a");
+        server.isDraining = true;
+        world.registry.put(server, world.now);
+        CHECK(world.choose(object).reason == SelectionReason::NoServer);
+    }
+    SECTION("a server of an evacuated failure domain")
+    {
+        world.registry.setEvacuated({"east-a"});
+        CHECK(world.choose(object).reason == SelectionReason::NoServer);
+    }
+    SECTION("a server outside the home regions of the route")
+    {
+        world.route.homeRegions = {"west"};
+        CHECK(world.choose(object).reason == SelectionReason::NoServer);
+    }
+    SECTION("a server that was tried already")
+    {
+        CHECK(world.choose(object, {"only"}).reason == SelectionReason::NoServer);
+    }
+    SECTION("a cold server beyond this daemon's share")
+    {
+        routing::BackendState &server = *world.registry.all().at("only");
+        server.setCold(std::chrono::seconds(3), world.now);
+        server.coldPermits().setLimits(1, 1);
+        REQUIRE(serverOf(world.choose(object)) == "only");
+        server.coldPermits().take(world.now);
+        CHECK(world.choose(object).server == nullptr);
+    }
+}
+
+TEST_CASE("A request goes to another region only when its own has no room")
+{
+    RoutingWorld world;
+    routing::BackendState &near = world.add("near", "east-b");
+    world.add("far", "west-a");
+    CHECK(world.choose(object).reason == SelectionReason::NearHome);
+    world.fill(near);
+    CHECK(world.choose(object).reason == SelectionReason::FarHome);
+    world.fill(*world.registry.all().at("far"));
+    CHECK(world.choose(object).reason == SelectionReason::Overloaded);
+}
+
+TEST_CASE("Large responses stay in the failure domain")
+{
+    // Guards against half of the downloads crossing failure domains, which costs more than a run
+    // on a server that does not know the object.
+    RoutingWorld world;
+    world.add("own", "east-a");
+    world.add("neighbour", "east-b");
+    world.route.isBulk = true;
+    for (std::uint64_t key = 0; key < 40; ++key)
+        CHECK(serverOf(world.choose(key)) == "own");
+    world.registry.remove("own");
+    CHECK(serverOf(world.choose(object)) == "neighbour");
+}
+
+TEST_CASE("A server that failed twice is passed over, unless all did")
+{
+    RoutingWorld world;
+    world.add("first", "east-a");
+    world.add("second", "east-a");
+    const std::string home = serverOf(world.choose(object));
+    routing::BackendState &server = *world.registry.all().at(home);
+    server.onFailure(world.now);
+    CHECK(serverOf(world.choose(object)) == home);
+    server.onFailure(world.now);
+    CHECK(serverOf(world.choose(object)) != home);
+    for (const auto &[id, other] : world.registry.all()) {
+        other->onFailure(world.now);
+        other->onFailure(world.now);
+    }
+    CHECK(serverOf(world.choose(object)) == home);
+}
+
+TEST_CASE("The share of requests that leave a region moves slowly under a burst")
+{
+    // Guards against 25 to 48 in 100 requests changing their region within 2 s.
+    RoutingWorld world;
+    routing::BackendState &near = world.add("near", "east-a");
+    world.add("far", "west-a");
+    const auto leftIn = [&](bool isNearFull, int requests) {
+        int left = 0;
+        for (int index = 0; index < requests; ++index) {
+            world.now += std::chrono::milliseconds(10);
+            near.onLoadReport(isNearFull ? 24 : 0, 0, 6, world.now);
+            const auto key = static_cast<std::uint64_t>(index) * 7919;
+            left += world.choose(key).reason == SelectionReason::FarHome ? 1 : 0;
+        }
+        return left;
+    };
+    CHECK(leftIn(false, 400) == 0);
+    // 2 s of a burst that leaves no room near.
+    CHECK(leftIn(true, 200) <= 30);
+    CHECK(leftIn(true, 200) <= 60);
+}
