--- a/modules/sardinehollow_routing/backends/BackendState.cpp
+++ b/modules/sardinehollow_routing/backends/BackendState.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-// Run of a request before the first response: about that of the present deployments.
-constexpr core::Duration firstRunTime = std::chrono::milliseconds(150);
+// A report says nothing of requests that came since, of which the next one tells after a run.
+constexpr int reportLifetimeRuns = 2;
 // Weight of the latest response in the average run.
 constexpr double runTimeWeight = 0.1;
 // Failures in a row after which a server is passed over: one may be the request's own fault.
@@ -23,7 +23,7 @@
     : m_server(std::move(server))
     , m_region(std::move(region))
     , m_hash(core::stableHash(m_server.id))
-    , m_runTime(firstRunTime)
+    , m_runTime(std::chrono::milliseconds(100))
     , m_coldPermits(0, 1)
 { }
 
@@ -48,6 +48,7 @@
 
 void BackendState::onResponse(core::Duration latency, double loadAtSend)
 {
+    m_hasResponded = true;
     const double waves = std::max(1.0, loadAtSend / m_server.slots);
     const core::Duration run = latency - m_roundTrip;
     const auto sample = std::chrono::duration_cast<core::Duration>(
@@ -55,6 +56,12 @@
     m_runTime += std::chrono::duration_cast<core::Duration>((sample - m_runTime) * runTimeWeight);
 }
 
+void BackendState::setExpectedRunTime(core::Duration runTime)
+{
+    if (!m_hasResponded)
+        m_runTime = runTime;
+}
+
 void BackendState::onConnected(core::Duration latency)
 {
     m_roundTrip = m_roundTrip.count() == 0 ? latency : std::min(m_roundTrip, latency);
@@ -65,6 +72,7 @@
 {
     m_load = running + waiting;
     m_loadAt = now;
+    m_reportedAt = now;
     if (slots > 0)
         m_server.slots = slots;
 }
@@ -75,7 +83,9 @@
     const double runSeconds = std::max(std::chrono::duration<double>(m_runTime).count(), 1e-3);
     const double done
             = elapsed * m_server.slots / runSeconds / static_cast<double>(m_senders);
-    return std::max<double>(m_inFlight, m_load - done);
+    const double own = std::max<double>(m_inFlight, m_load - done);
+    const bool isReportFresh = now - m_reportedAt < m_runTime * reportLifetimeRuns;
+    return isReportFresh ? own : std::max(own, m_peerLoad);
 }
 
 core::Duration BackendState::expectedLatency(core::Instant now) const
--- a/modules/sardinehollow_routing/backends/BackendState.h
+++ b/modules/sardinehollow_routing/backends/BackendState.h
@@ -35,6 +35,13 @@
     void onConnected(core::Duration latency);
     /** Daemons that send to this server; each counts on its part of what the server gets done. */
     void setSenders(std::size_t count) { m_senders = count; }
+    /** What to expect of a run until the first response. */
+    void setExpectedRunTime(core::Duration runTime);
+    /**
+     * Load of such servers as this daemon's own requests suggest, if all daemons send as many. It
+     * counts while the server has not reported for longer than a run takes.
+     */
+    void setPeerLoad(double load) { m_peerLoad = load; }
     /** The server said how many requests it runs and how many wait. */
     void onLoadReport(std::uint32_t running, std::uint32_t waiting, std::uint32_t slots,
                       core::Instant now);
@@ -66,8 +73,11 @@
     /** Load at the time below; it falls by what the server gets done of this daemon's part. */
     double m_load = 0;
     core::Instant m_loadAt {0};
+    core::Instant m_reportedAt {0};
+    double m_peerLoad = 0;
     /** Average run of one request without waiting, network included. */
     core::Duration m_runTime;
+    bool m_hasResponded = false;
     core::Duration m_roundTrip {0};
     std::size_t m_senders = 1;
     std::uint32_t m_consecutiveFailures = 0;
--- a/modules/sardinehollow_routing/selection/ServerSelector.cpp
+++ b/modules/sardinehollow_routing/selection/ServerSelector.cpp
@@ -11,6 +11,8 @@
 
 // Makes the choice of the objects that leave a region independent of the choice of their servers.
 constexpr std::uint64_t spillSalt = 0x5b1d;
+// Part of the objective that a run is expected to take before the first response of a server.
+constexpr double expectedShare = 0.5;
 // Keeps the logarithm of the rendezvous score finite.
 constexpr double smallestUnit = 1e-12;
 
@@ -36,10 +38,30 @@
     const std::vector<Candidate> ranked = candidates(route, service, objectHash, tried);
     if (ranked.empty())
         return {nullptr, SelectionReason::NoServer};
+    spreadPeerLoad(route, ranked);
     const std::vector<Candidate> fit = usable(ranked, now);
     return tried.empty() ? pickHome(route, service, objectHash, fit, now) : pickAny(route, fit, now);
 }
 
+void ServerSelector::spreadPeerLoad(const Route &route, const std::vector<Candidate> &ranked) const
+{
+    double inFlight = 0;
+    double count = 0;
+    for (const Candidate &candidate : ranked) {
+        candidate.server->setExpectedRunTime(
+                std::chrono::duration_cast<core::Duration>(route.latencyObjective * expectedShare));
+        if (!candidate.isNear)
+            continue;
+        inFlight += candidate.server->inFlight();
+        count += 1;
+    }
+    for (const Candidate &candidate : ranked) {
+        candidate.server->setSenders(m_senders);
+        if (candidate.isNear)
+            candidate.server->setPeerLoad(inFlight * static_cast<double>(m_senders) / count);
+    }
+}
+
 std::vector<ServerSelector::Candidate>
 ServerSelector::candidates(const Route &route, const std::string &service, std::uint64_t objectHash,
                            const std::set<std::string> &tried) const
--- a/modules/sardinehollow_routing/selection/ServerSelector.h
+++ b/modules/sardinehollow_routing/selection/ServerSelector.h
@@ -23,6 +23,9 @@
     ServerSelector(const BackendRegistry &registry, SelectionSettings settings);
 
     /** The tried servers of an earlier attempt are left out; any other with room may follow. */
+    /** Sets how many daemons send to the servers of the own region. */
+    void setSenders(std::size_t count) { m_senders = count; }
+
     Selection choose(const Route &route, const std::string &service, std::uint64_t objectHash,
                      const std::set<std::string> &tried, core::Instant now);
 
@@ -36,6 +39,8 @@
         bool isInDomain = false;
     };
 
+    /** Tells the servers of the own region what load this daemon's requests suggest. */
+    void spreadPeerLoad(const Route &route, const std::vector<Candidate> &ranked) const;
     std::vector<Candidate> candidates(const Route &route, const std::string &service,
                                       std::uint64_t objectHash,
                                       const std::set<std::string> &tried) const;
@@ -51,6 +56,7 @@
 
     const BackendRegistry &m_registry;
     const SelectionSettings m_settings;
+    std::size_t m_senders = 1;
     /** By service. */
     std::map<std::string, SpillRamp> m_ramps;
 };
--- a/modules/sardinehollow_routing/state/RoutingSettings.h
+++ b/modules/sardinehollow_routing/state/RoutingSettings.h
@@ -11,6 +11,8 @@
 /** What the decisions of one daemon depend on besides the operators' configuration. */
 struct RoutingSettings
 {
+    /** Name of the daemon's VM. */
+    std::string self;
     SelectionSettings selection;
     RetryBudgetSettings retries;
     /** Regions by failure domain. */
--- a/modules/sardinehollow_routing/state/RoutingState.h
+++ b/modules/sardinehollow_routing/state/RoutingState.h
@@ -43,9 +43,15 @@
     bool takeRetry(const std::string &service, core::Instant now);
 
 private:
+    /**
+     * This daemon's share of the requests that a cold server bears: a few daemons of its region,
+     * chosen by rendezvous hashing, send to it at all.
+     */
+    double coldShare(const BackendState &server, double coldRate) const;
     /** Tells the servers of a service how many daemons share them. */
     void shareServers(const std::string &service, core::Instant now);
 
+    const std::string m_self;
     const std::string m_region;
     core::RandomSource &m_random;
     RouteTablePtr m_table;
