--- a/modules/sardinehollow_core/http/SocketOptions.cpp
+++ b/modules/sardinehollow_core/http/SocketOptions.cpp
@@ -10,6 +10,8 @@
 constexpr int keepAliveIntervalSeconds = 2;
 constexpr int keepAliveProbes = 3;
 constexpr int userTimeoutMilliseconds = 10'000;
+constexpr int watchedIdleSeconds = 1;
+constexpr int watchedUserTimeoutMilliseconds = 3000;
 
 } // namespace
 
@@ -23,4 +25,11 @@
     socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, userTimeoutMilliseconds);
 }
 
+void detectDeadPeer(Poco::Net::StreamSocket &socket)
+{
+    socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, watchedIdleSeconds);
+    socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, watchedIdleSeconds);
+    socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, watchedUserTimeoutMilliseconds);
+}
+
 } // namespace sardinehollow::core
--- a/modules/sardinehollow_core/http/SocketOptions.h
+++ b/modules/sardinehollow_core/http/SocketOptions.h
@@ -10,4 +10,7 @@
  */
 void configureSocket(Poco::Net::StreamSocket &socket);
 
+/** Lets a connection fail about 3 s after its peer has vanished, also while nothing is sent. */
+void detectDeadPeer(Poco::Net::StreamSocket &socket);
+
 } // namespace sardinehollow::core
--- a/modules/sardinehollow_gateway/application/EntryTracker.cpp
+++ b/modules/sardinehollow_gateway/application/EntryTracker.cpp
@@ -86,15 +86,11 @@
         remove(name);
 }
 
-void EntryTracker::onStoreLost(const core::Error &reason)
-{
-    m_services.log.state(LogLine("store-lost").text("for", "entries").text("error", reason.text()));
-}
+void EntryTracker::onStoreLost(const core::Error & /*reason*/) { }
 
 void EntryTracker::onStoreRegained()
 {
     m_removals.onStoreRegained(m_services.loop.now());
-    m_services.log.state(LogLine("store-regained").text("for", "entries"));
 }
 
 } // namespace sardinehollow::gateway
--- a/modules/sardinehollow_gateway/application/GatewayApplication.cpp
+++ b/modules/sardinehollow_gateway/application/GatewayApplication.cpp
@@ -49,21 +49,18 @@
     , m_servers(m_services, schema, m_settings.reappearanceTime)
     , m_entries(m_services, m_settings.reappearanceTime + std::chrono::seconds(1))
 {
-    using platform::CallPurpose;
     m_log.state(LogLine("started")
                         .text("vm", m_settings.self.name)
                         .text("failureDomain", m_settings.self.failureDomain)
                         .text("region", m_settings.self.region)
                         .text("address", m_settings.self.address));
     startListeners();
-    m_operatorMirror = std::make_unique<LoopMirror>(m_loop, store, CallPurpose::Configuration,
-                                                    schema.operatorPrefix(), m_operator,
-                                                    seedOf(m_settings, "operator"));
-    m_serverMirror = std::make_unique<LoopMirror>(m_loop, store, CallPurpose::Servers,
-                                                  schema.serverPrefix(), m_servers,
-                                                  seedOf(m_settings, "servers"));
-    m_entryMirror = std::make_unique<LoopMirror>(m_loop, store, CallPurpose::Entries, entryPrefix,
-                                                 m_entries, seedOf(m_settings, "entries"));
+    m_dispatcher.add(schema.operatorPrefix(), m_operator);
+    m_dispatcher.add(schema.serverPrefix(), m_servers);
+    m_dispatcher.add(entryPrefix, m_entries);
+    // All keys are of interest, so that one waiting call serves in place of one for each prefix.
+    m_mirror = std::make_unique<LoopMirror>(m_loop, store, platform::CallPurpose::Configuration, "",
+                                            m_dispatcher, seedOf(m_settings, "mirror"));
     onTick();
 }
 
@@ -130,8 +127,7 @@
 {
     m_loop.post([this, error] {
         m_log.state(LogLine("renewal-failed").text("error", error.text()));
-        for (const auto *mirror : {&m_operatorMirror, &m_serverMirror, &m_entryMirror})
-            (*mirror)->recheck();
+        m_mirror->recheck();
     });
 }
 
--- a/modules/sardinehollow_gateway/application/GatewayApplication.h
+++ b/modules/sardinehollow_gateway/application/GatewayApplication.h
@@ -5,6 +5,7 @@
 #include "sardinehollow_gateway/application/GatewaySettings.h"
 #include "sardinehollow_gateway/application/LoopMirror.h"
 #include "sardinehollow_gateway/application/OperatorTracker.h"
+#include "sardinehollow_gateway/application/PrefixDispatcher.h"
 #include "sardinehollow_gateway/application/ServerTracker.h"
 #include "sardinehollow_gateway/application/StoreSchema.h"
 #include "sardinehollow_gateway/caller/CallerListener.h"
@@ -64,9 +65,8 @@
     std::unique_ptr<QueryListener> m_directory;
     std::unique_ptr<QueryListener> m_metricsListener;
     std::unique_ptr<CallerListener> m_callers;
-    std::unique_ptr<LoopMirror> m_operatorMirror;
-    std::unique_ptr<LoopMirror> m_serverMirror;
-    std::unique_ptr<LoopMirror> m_entryMirror;
+    PrefixDispatcher m_dispatcher;
+    std::unique_ptr<LoopMirror> m_mirror;
     std::unique_ptr<platform::LeasedKey> m_ownEntry;
     std::atomic<bool> m_stopRequested {false};
     std::atomic<bool> m_reloadRequested {false};
--- a/modules/sardinehollow_gateway/application/OperatorTracker.cpp
+++ b/modules/sardinehollow_gateway/application/OperatorTracker.cpp
@@ -69,12 +69,12 @@
 
 void OperatorTracker::onStoreLost(const core::Error &reason)
 {
-    m_services.log.state(LogLine("store-lost").text("for", "operator").text("error", reason.text()));
+    m_services.log.state(LogLine("store-lost").text("error", reason.text()));
 }
 
 void OperatorTracker::onStoreRegained()
 {
-    m_services.log.state(LogLine("store-regained").text("for", "operator"));
+    m_services.log.state(LogLine("store-regained"));
 }
 
 } // namespace sardinehollow::gateway
--- a/modules/sardinehollow_gateway/application/ServerTracker.cpp
+++ b/modules/sardinehollow_gateway/application/ServerTracker.cpp
@@ -88,15 +88,11 @@
         remove(id, "its entry did not come back after the store's outage");
 }
 
-void ServerTracker::onStoreLost(const core::Error &reason)
-{
-    m_services.log.state(LogLine("store-lost").text("for", "servers").text("error", reason.text()));
-}
+void ServerTracker::onStoreLost(const core::Error & /*reason*/) { }
 
 void ServerTracker::onStoreRegained()
 {
     m_removals.onStoreRegained(m_services.loop.now());
-    m_services.log.state(LogLine("store-regained").text("for", "servers"));
 }
 
 } // namespace sardinehollow::gateway
--- a/modules/sardinehollow_platform/http/JsonClient.cpp
+++ b/modules/sardinehollow_platform/http/JsonClient.cpp
@@ -1,6 +1,7 @@
 #include "sardinehollow_platform/http/JsonClient.h"
 
 #include "sardinehollow_core/http/HttpBodyReader.h"
+#include "sardinehollow_core/http/SocketOptions.h"
 #include "sardinehollow_core/time/SystemClock.h"
 
 #include <Poco/JSON/Parser.h>
@@ -113,6 +114,8 @@
         try {
             connection = std::make_unique<core::HttpConnection>(Poco::Net::SocketAddress(m_address),
                                                                 m_timeout);
+            // A call may wait long for its answer on a connection that has silently died.
+            core::detectDeadPeer(connection->socket());
         } catch (const Poco::Exception &exception) {
             return tl::unexpected<core::Error>(
                     error(core::ErrorKind::Unreachable, path, exception.displayText()));
