--- a/apps/sardinehollowd_platform/Main.cpp
+++ b/apps/sardinehollowd_platform/Main.cpp
@@ -19,7 +19,8 @@
 using sardinehollow::apps::ExitCode;
 using sardinehollow::gateway::GatewayApplication;
 
-constexpr const char *usage = R"(sardinehollowd-platform: the daemon of one entry VM on the users' platform.
+constexpr const char *usage
+        = R"(sardinehollowd-platform: the daemon of one entry VM on the users' platform.
 
 Usage:
   sardinehollowd-platform --config FILE
@@ -52,8 +53,7 @@
     const sardinehollow::adapter::PlatformProtocol protocol;
     const sardinehollow::adapter::PlatformSchema schema;
     sardinehollow::adapter::KvStore store(settings.storeAddress);
-    const auto sink
-            = std::make_shared<sardinehollow::gateway::NonBlockingSink>(STDOUT_FILENO);
+    const auto sink = std::make_shared<sardinehollow::gateway::NonBlockingSink>(STDOUT_FILENO);
     try {
         GatewayApplication application(settings, protocol, schema, store, sink);
         runningApplication = &application;
--- a/modules/sardinehollow_entry/metrics/Metrics.cpp
+++ b/modules/sardinehollow_entry/metrics/Metrics.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 template <typename Counters>
-void appendReasons(metrics::PrometheusWriter &writer, const std::string &name, const std::string &help,
-                   const Counters &counters)
+void appendReasons(metrics::PrometheusWriter &writer, const std::string &name,
+                   const std::string &help, const Counters &counters)
 {
     writer.family(name, help, "counter");
     for (std::size_t index = 1; index < counters.size(); ++index) {
@@ -56,7 +56,8 @@
 void Metrics::recordLatency(const std::string &rank, const std::string &kind,
                             core::Duration latency)
 {
-    const std::string labels = metrics::PrometheusWriter::labelText({{"rank", rank}, {"kind", kind}});
+    const std::string labels
+            = metrics::PrometheusWriter::labelText({{"rank", rank}, {"kind", kind}});
     const std::lock_guard lock(m_mutex);
     std::unique_ptr<metrics::LatencyHistogram> &histogram = m_latencies[labels];
     if (!histogram)
--- a/modules/sardinehollow_gateway/application/GatewayApplication.cpp
+++ b/modules/sardinehollow_gateway/application/GatewayApplication.cpp
@@ -26,8 +26,7 @@
 
 std::uint64_t seedOf(const GatewaySettings &settings, std::string_view purpose)
 {
-    const auto start
-            = static_cast<std::uint64_t>(BootClock().now().count());
+    const auto start = static_cast<std::uint64_t>(BootClock().now().count());
     return core::combineHashes(core::stableHash(settings.self.name + std::string(purpose)), start);
 }
 
@@ -73,9 +72,8 @@
             m_loop, m_settings.readinessAddress,
             [this](const Poco::Net::HTTPRequest &) { return answerReadiness(); });
     m_directory = std::make_unique<QueryListener>(
-            m_loop, m_settings.directoryAddress, [this](const Poco::Net::HTTPRequest &request) {
-                return answerEntryQuery(request);
-            });
+            m_loop, m_settings.directoryAddress,
+            [this](const Poco::Net::HTTPRequest &request) { return answerEntryQuery(request); });
     if (m_settings.metricsAddress.empty())
         return;
     m_metricsListener = std::make_unique<QueryListener>(
@@ -87,8 +85,8 @@
 void GatewayApplication::run()
 {
     m_loop.run();
-    m_log.state(LogLine("stopped").number("connections", static_cast<std::int64_t>(
-                                                  m_callers->connectionCount())));
+    m_log.state(LogLine("stopped").number("connections",
+                                          static_cast<std::int64_t>(m_callers->connectionCount())));
     m_log.flush();
 }
 
@@ -153,12 +151,13 @@
     const core::Duration elapsed = m_loop.now() - m_stoppingSince;
     if (elapsed < announceTime)
         return;
-    const bool isFinishing
-            = elapsed >= std::chrono::duration_cast<core::Duration>(m_settings.stopGrace * (1 - finishingShare));
+    const bool isFinishing = elapsed >= std::chrono::duration_cast<core::Duration>(
+                                     m_settings.stopGrace * (1 - finishingShare));
     if (isFinishing && !m_services.isRefusing) {
         m_services.isRefusing = true;
         m_callers->stopAccepting();
-        m_log.state(LogLine("finishing").number("requests", static_cast<std::int64_t>(m_callers->busyCount())));
+        m_log.state(LogLine("finishing")
+                            .number("requests", static_cast<std::int64_t>(m_callers->busyCount())));
     }
     m_callers->closeIdle(quietBeforeClose);
     const bool isDone = m_callers->connectionCount() == 0;
@@ -201,11 +200,11 @@
 std::string GatewayApplication::metricsText() const
 {
     metrics::PrometheusWriter writer;
-    const auto add = [&writer](const char *name, const char *help, const char *type,
-                               std::uint64_t value) {
-        writer.family(name, help, type);
-        writer.sample(name, {}, std::to_string(value));
-    };
+    const auto add
+            = [&writer](const char *name, const char *help, const char *type, std::uint64_t value) {
+                  writer.family(name, help, type);
+                  writer.sample(name, {}, std::to_string(value));
+              };
     add("backend_connections_opened_total", "Connections opened to backend servers.", "counter",
         m_pool.opened());
     add("backend_connections_reused_total", "Requests sent on a kept connection.", "counter",
--- a/modules/sardinehollow_gateway/application/StoreSchema.h
+++ b/modules/sardinehollow_gateway/application/StoreSchema.h
@@ -28,8 +28,7 @@
     virtual std::string serverPrefix() const = 0;
     /** Fails for an entry that names no usable server. */
     virtual core::Result<routing::BackendServer> decodeServer(const std::string &id,
-                                                              const std::string &value) const
-            = 0;
+                                                              const std::string &value) const = 0;
 };
 
 } // namespace sardinehollow::gateway
--- a/modules/sardinehollow_gateway/backend/BackendConnection.cpp
+++ b/modules/sardinehollow_gateway/backend/BackendConnection.cpp
@@ -172,8 +172,8 @@
     m_listener = nullptr;
     // Bytes behind the response belong to no request. A server that answered before it had read
     // the whole request would take the next one for the rest of it.
-    const bool isReusable = m_isReusable && input().empty() && m_isRequestWhole
-            && unsentBytes() == 0 && isOpen();
+    const bool isReusable
+            = m_isReusable && input().empty() && m_isRequestWhole && unsentBytes() == 0 && isOpen();
     if (!isReusable)
         close();
     m_server->onEnded();
--- a/modules/sardinehollow_gateway/caller/CallerConnection.cpp
+++ b/modules/sardinehollow_gateway/caller/CallerConnection.cpp
@@ -24,8 +24,8 @@
 
 } // namespace
 
-CallerConnection::CallerConnection(GatewayServices &services,
-                                   const Poco::Net::StreamSocket &socket, ClosedHandler onClosed)
+CallerConnection::CallerConnection(GatewayServices &services, const Poco::Net::StreamSocket &socket,
+                                   ClosedHandler onClosed)
     : BufferedConnection(services.loop, socket)
     , m_services(services)
     , m_onClosed(std::move(onClosed))
--- a/modules/sardinehollow_gateway/caller/CallerListener.cpp
+++ b/modules/sardinehollow_gateway/caller/CallerListener.cpp
@@ -25,8 +25,7 @@
 void CallerListener::closeIdle(core::Duration quietFor)
 {
     for (const auto &[key, connection] : m_connections) {
-        if (!connection->isBusy()
-            && m_services.loop.now() - connection->quietSince() >= quietFor)
+        if (!connection->isBusy() && m_services.loop.now() - connection->quietSince() >= quietFor)
             connection->closeIdle();
     }
 }
--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -112,8 +112,8 @@
         refuse(RequestOutcome::BodyTooLarge, "the body is longer than the limit");
         return;
     }
-    const core::Duration wait = std::min(m_facts.timeLeft.value_or(m_route->timeout),
-                                         m_route->timeout);
+    const core::Duration wait
+            = std::min(m_facts.timeLeft.value_or(m_route->timeout), m_route->timeout);
     m_deadline = m_startedAt + m_facts.timeLeft.value_or(m_route->timeout);
     m_objectHash = core::stableHash(m_facts.object.empty() ? m_facts.requestId : m_facts.object);
     m_service = m_services.routing.startRequest(*m_route);
@@ -163,9 +163,8 @@
                    "no other server has room");
             return;
         }
-        refuse(selection.reason == routing::SelectionReason::NoServer
-                       ? RequestOutcome::NoServer
-                       : RequestOutcome::Overloaded,
+        refuse(selection.reason == routing::SelectionReason::NoServer ? RequestOutcome::NoServer
+                                                                      : RequestOutcome::Overloaded,
                std::string(toName(selection.reason)));
         return;
     }
@@ -296,8 +295,8 @@
         endAttempt(RetryReason::NotRun, "the server shed the request");
         return;
     }
-    const bool isSuccess = status >= HTTPResponse::HTTP_OK
-            && status < HTTPResponse::HTTP_MULTIPLE_CHOICES;
+    const bool isSuccess
+            = status >= HTTPResponse::HTTP_OK && status < HTTPResponse::HTTP_MULTIPLE_CHOICES;
     if (isSuccess && (!m_responseFacts.isSigned || m_responseFacts.requestId.empty())) {
         endAttempt(RetryReason::InvalidResponse, "the response is not signed by the server");
         return;
@@ -377,8 +376,7 @@
     const bool isAllowed = (m_route->isIdempotent || !m_mayHaveRun)
             && (m_route->isIdempotent || !canHaveRun(reason)) && !m_isBodyStreamed
             && m_attempts < m_route->maximumAttempts
-            && m_connectionFailures <= mostConnectionFailures
-            && m_deadline - now > shortestAttempt;
+            && m_connectionFailures <= mostConnectionFailures && m_deadline - now > shortestAttempt;
     if (!isAllowed)
         return false;
     // An attempt that reached no server is not seen by any.
@@ -435,9 +433,8 @@
     line.text("id", m_facts.requestId)
             .text("route", m_route ? m_route->name : "")
             .text("service", m_service)
-            .number("configuration", m_table ? static_cast<std::int64_t>(
-                                             m_table->configuration().version)
-                                             : 0)
+            .number("configuration",
+                    m_table ? static_cast<std::int64_t>(m_table->configuration().version) : 0)
             .text("object", m_facts.object)
             .text("selection", toName(m_selectionReason))
             .number("attempts", m_attempts)
@@ -460,8 +457,7 @@
         const double seconds = std::chrono::duration<double>(retryAfter).count();
         response.set("Retry-After", Poco::NumberFormatter::format(seconds, 1));
     }
-    m_sink.sendResponse(response,
-                        "{\"title\":\"" + std::string(toName(outcome)) + "\"}");
+    m_sink.sendResponse(response, "{\"title\":\"" + std::string(toName(outcome)) + "\"}");
 }
 
 void Exchange::removeBackend()
--- a/modules/sardinehollow_gateway/http/HeadReader.cpp
+++ b/modules/sardinehollow_gateway/http/HeadReader.cpp
@@ -54,8 +54,7 @@
         const std::size_t colon = line.find(':');
         if (colon == std::string_view::npos || !isToken(line.substr(0, colon)) || !isText(line))
             return false;
-        header.add(std::string(line.substr(0, colon)),
-                   std::string(trim(line.substr(colon + 1))));
+        header.add(std::string(line.substr(0, colon)), std::string(trim(line.substr(colon + 1))));
     }
     return true;
 }
--- a/modules/sardinehollow_gateway/http/MessageWriter.cpp
+++ b/modules/sardinehollow_gateway/http/MessageWriter.cpp
@@ -10,10 +10,10 @@
 
 namespace {
 
-constexpr std::array connectionFields {"Connection",       "Keep-Alive", "Proxy-Connection",
-                                       "TE",               "Trailer",    "Transfer-Encoding",
-                                       "Upgrade",          "Expect",     "Content-Length",
-                                       "Proxy-Authenticate"};
+constexpr std::array connectionFields {
+        "Connection",     "Keep-Alive",        "Proxy-Connection", "TE",
+        "Trailer",        "Transfer-Encoding", "Upgrade",          "Expect",
+        "Content-Length", "Proxy-Authenticate"};
 
 void appendFields(std::string &text, const Poco::Net::MessageHeader &header)
 {
--- a/modules/sardinehollow_gateway/http/WireProtocol.h
+++ b/modules/sardinehollow_gateway/http/WireProtocol.h
@@ -61,17 +61,15 @@
     virtual CallerRequestFacts readCallerRequest(const Poco::Net::HTTPRequest &request) const = 0;
     /** Names the server that is to run the request, and how long it may take. */
     virtual void addressRequest(Poco::Net::HTTPRequest &request, const std::string &serverId,
-                                core::Duration timeLeft) const
-            = 0;
-    virtual BackendResponseFacts readBackendResponse(const Poco::Net::HTTPResponse &response) const
-            = 0;
+                                core::Duration timeLeft) const = 0;
+    virtual BackendResponseFacts
+    readBackendResponse(const Poco::Net::HTTPResponse &response) const = 0;
     /** Returns the query if the request is one for entry daemons. */
-    virtual std::optional<EntryQuery> readEntryQuery(const Poco::Net::HTTPRequest &request) const
-            = 0;
+    virtual std::optional<EntryQuery>
+    readEntryQuery(const Poco::Net::HTTPRequest &request) const = 0;
     /** Returns the body of an answer to an entry query. */
     virtual std::string entryAnswer(const std::vector<std::string> &addresses,
-                                    core::Duration lifetime) const
-            = 0;
+                                    core::Duration lifetime) const = 0;
     virtual bool isReadinessQuery(const Poco::Net::HTTPRequest &request) const = 0;
 };
 
--- a/modules/sardinehollow_gateway/logging/EventLog.cpp
+++ b/modules/sardinehollow_gateway/logging/EventLog.cpp
@@ -14,8 +14,7 @@
     : m_logger("events", std::move(sink))
     , m_permits(requestLinesPerSecond, requestLineBurst)
 {
-    m_logger.set_pattern(R"(%v,"time":"%Y-%m-%dT%H:%M:%S.%eZ"})",
-                         spdlog::pattern_time_type::utc);
+    m_logger.set_pattern(R"(%v,"time":"%Y-%m-%dT%H:%M:%S.%eZ"})", spdlog::pattern_time_type::utc);
 }
 
 void EventLog::request(const LogLine &line, core::Instant now)
--- a/modules/sardinehollow_gateway/logging/LogLine.cpp
+++ b/modules/sardinehollow_gateway/logging/LogLine.cpp
@@ -9,8 +9,8 @@
 {
     text += '"';
     for (const char character : value) {
-        const bool isPlain = character >= 0x20 && character < 0x7f && character != '"'
-                && character != '\\';
+        const bool isPlain
+                = character >= 0x20 && character < 0x7f && character != '"' && character != '\\';
         text += isPlain ? character : '?';
     }
     text += '"';
--- a/modules/sardinehollow_gateway/query/QueryListener.cpp
+++ b/modules/sardinehollow_gateway/query/QueryListener.cpp
@@ -7,8 +7,7 @@
 QueryListener::QueryListener(EventLoop &loop, const std::string &address, Handler handler)
     : m_loop(loop)
     , m_handler(std::move(handler))
-    , m_listener(loop, address,
-                 [this](const Poco::Net::StreamSocket &socket) { accept(socket); })
+    , m_listener(loop, address, [this](const Poco::Net::StreamSocket &socket) { accept(socket); })
 { }
 
 QueryListener::~QueryListener() = default;
--- a/modules/sardinehollow_routing/backends/BackendState.cpp
+++ b/modules/sardinehollow_routing/backends/BackendState.cpp
@@ -51,8 +51,8 @@
     m_hasResponded = true;
     const double waves = std::max(1.0, loadAtSend / m_server.slots);
     const core::Duration run = latency - m_roundTrip;
-    const auto sample = std::chrono::duration_cast<core::Duration>(
-            std::max(run, core::Duration {0}) / waves);
+    const auto sample
+            = std::chrono::duration_cast<core::Duration>(std::max(run, core::Duration {0}) / waves);
     m_runTime += std::chrono::duration_cast<core::Duration>((sample - m_runTime) * runTimeWeight);
 }
 
@@ -81,8 +81,7 @@
 {
     const double elapsed = std::chrono::duration<double>(now - m_loadAt).count();
     const double runSeconds = std::max(std::chrono::duration<double>(m_runTime).count(), 1e-3);
-    const double done
-            = elapsed * m_server.slots / runSeconds / static_cast<double>(m_senders);
+    const double done = elapsed * m_server.slots / runSeconds / static_cast<double>(m_senders);
     const double own = std::max<double>(m_inFlight, m_load - done);
     const bool isReportFresh = now - m_reportedAt < m_runTime * reportLifetimeRuns;
     return isReportFresh ? own : std::max(own, m_peerLoad);
--- a/modules/sardinehollow_routing/entries/EntryDirectory.cpp
+++ b/modules/sardinehollow_routing/entries/EntryDirectory.cpp
@@ -21,9 +21,9 @@
 
 std::size_t EntryDirectory::countIn(const std::string &region) const
 {
-    const auto count = std::count_if(
-            m_daemons.begin(), m_daemons.end(),
-            [&region](const auto &entry) { return entry.second.region == region; });
+    const auto count
+            = std::count_if(m_daemons.begin(), m_daemons.end(),
+                            [&region](const auto &entry) { return entry.second.region == region; });
     return std::max<std::size_t>(1, static_cast<std::size_t>(count));
 }
 
--- a/modules/sardinehollow_routing/entries/EntryDirectory.h
+++ b/modules/sardinehollow_routing/entries/EntryDirectory.h
@@ -9,7 +9,8 @@
 
 namespace sardinehollow::routing {
 
-/** The daemons that serve callers, and which of them a caller is told. Not safe for concurrent use. */
+/** The daemons that serve callers, and which of them a caller is told. Not safe for concurrent use.
+ */
 class EntryDirectory
 {
 public:
--- a/modules/sardinehollow_routing/selection/ServerSelector.cpp
+++ b/modules/sardinehollow_routing/selection/ServerSelector.cpp
@@ -18,9 +18,8 @@
 
 double rendezvousScore(std::uint64_t objectHash, const BackendState &server)
 {
-    const double unit
-            = std::max(core::hashToUnit(core::combineHashes(objectHash, server.hash())),
-                       smallestUnit);
+    const double unit = std::max(core::hashToUnit(core::combineHashes(objectHash, server.hash())),
+                                 smallestUnit);
     return static_cast<double>(server.server().slots) / -std::log(unit);
 }
 
@@ -40,7 +39,8 @@
         return {nullptr, SelectionReason::NoServer};
     spreadPeerLoad(route, ranked);
     const std::vector<Candidate> fit = usable(ranked, now);
-    return tried.empty() ? pickHome(route, service, objectHash, fit, now) : pickAny(route, fit, now);
+    return tried.empty() ? pickHome(route, service, objectHash, fit, now)
+                         : pickAny(route, fit, now);
 }
 
 void ServerSelector::spreadPeerLoad(const Route &route, const std::vector<Candidate> &ranked) const
@@ -72,8 +72,8 @@
             continue;
         // Large responses cost more on their way between failure domains than the run of a request
         // on a server that does not know its object yet.
-        const bool isInDomain = route.isBulk
-                && server->server().failureDomain == m_settings.failureDomain;
+        const bool isInDomain
+                = route.isBulk && server->server().failureDomain == m_settings.failureDomain;
         ranked.push_back({server, rendezvousScore(objectHash, *server),
                           server->region() == m_settings.region, isInDomain});
     }
@@ -95,8 +95,8 @@
     return homes.empty() || std::find(homes.begin(), homes.end(), server.region()) != homes.end();
 }
 
-std::vector<ServerSelector::Candidate>
-ServerSelector::usable(const std::vector<Candidate> &ranked, core::Instant now) const
+std::vector<ServerSelector::Candidate> ServerSelector::usable(const std::vector<Candidate> &ranked,
+                                                              core::Instant now) const
 {
     const bool areAllAvoided
             = std::all_of(ranked.begin(), ranked.end(), [now](const Candidate &candidate) {
