Let objects come back to their region; log what decided a choice

The test was seen to fail without the change (400 of 400 requests still left). Request lines now name both homes with their loads and the age of their reports, and the share that leaves.

--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -25,6 +25,7 @@
 constexpr core::Duration retryAfter = std::chrono::milliseconds(300);
 // Less than this is not worth another attempt.
 constexpr core::Duration shortestAttempt = std::chrono::milliseconds(30);
+constexpr double percent = 100;
 // Servers that cannot be reached do not count as attempts, but cost time.
 constexpr std::uint32_t mostConnectionFailures = 3;
 // A connection that was idle for longer may have been closed or forgotten by the server without
@@ -67,6 +68,15 @@
     return RetryReason::Broken;
 }
 
+void appendHome(LogLine &line, const std::string &name, const routing::HomeState &home)
+{
+    if (home.server.empty())
+        return;
+    line.text(name, home.server)
+            .number(name + "Load", static_cast<std::int64_t>(home.load))
+            .milliseconds(name + "ReportAgeMs", home.reportAge);
+}
+
 bool canHaveRun(RetryReason reason)
 {
     return reason == RetryReason::Broken || reason == RetryReason::InvalidResponse
@@ -157,6 +167,8 @@
     const routing::Selection selection
             = m_services.routing.select(*m_route, m_service, m_objectHash, m_tried, now);
     m_selectionReason = selection.reason;
+    if (m_tried.empty())
+        m_selectionInputs = selection.inputs;
     if (!selection.server) {
         if (m_mayHaveRun) {
             finish(RequestOutcome::OutcomeUnknown, HTTPResponse::HTTP_BAD_GATEWAY,
@@ -442,6 +454,9 @@
             .number("status", status)
             .milliseconds("ms", now - m_startedAt)
             .text("detail", detail);
+    appendHome(line, "near", m_selectionInputs.near);
+    appendHome(line, "far", m_selectionInputs.far);
+    line.number("spillPercent", static_cast<std::int64_t>(m_selectionInputs.spillLevel * percent));
     std::string servers;
     for (const std::string &id : m_tried)
         servers += (servers.empty() ? "" : " ") + id;
--- a/modules/sardinehollow_gateway/exchange/Exchange.h
+++ b/modules/sardinehollow_gateway/exchange/Exchange.h
@@ -77,6 +77,8 @@
     /** The server of the present or last attempt. */
     routing::BackendStatePtr m_server;
     routing::SelectionReason m_selectionReason = routing::SelectionReason::NoServer;
+    /** Of the first attempt, which decided by the object's homes. */
+    routing::SelectionInputs m_selectionInputs;
     std::set<std::string> m_tried;
     std::uint32_t m_attempts = 0;
     std::uint32_t m_connectionFailures = 0;
--- a/modules/sardinehollow_routing/backends/BackendState.h
+++ b/modules/sardinehollow_routing/backends/BackendState.h
@@ -45,6 +45,8 @@
     /** The server said how many requests it runs and how many wait. */
     void onLoadReport(std::uint32_t running, std::uint32_t waiting, std::uint32_t slots,
                       core::Instant now);
+    /** Time since the last report; since the clock's origin if there was none. */
+    core::Duration reportAge(core::Instant now) const { return now - m_reportedAt; }
     std::uint32_t inFlight() const { return m_inFlight; }
     /** Estimated requests that run or wait at the server, from all daemons. */
     double load(core::Instant now) const;
--- a/modules/sardinehollow_routing/selection/Selection.h
+++ b/modules/sardinehollow_routing/selection/Selection.h
@@ -22,12 +22,34 @@
 
 std::string_view toName(SelectionReason reason);
 
+/** State of a home of an object at the time of a choice. */
+struct HomeState
+{
+    /** Empty if there is no such home. */
+    std::string server;
+    /** Estimated requests that run or wait there. */
+    double load = 0;
+    /** Time since the server last reported its load. */
+    core::Duration reportAge {0};
+};
+
+/** What a choice of a server rested on. */
+struct SelectionInputs
+{
+    HomeState near;
+    HomeState far;
+    /** Share of the service's objects that leave the region. */
+    double spillLevel = 0;
+};
+
 /** The backend server for one attempt. */
 struct Selection
 {
     /** Null if there is none. */
     BackendStatePtr server;
     SelectionReason reason = SelectionReason::NoServer;
+    /** What the choice rested on, for the log. */
+    SelectionInputs inputs {};
 };
 
 } // namespace sardinehollow::routing
--- a/modules/sardinehollow_routing/selection/ServerSelector.cpp
+++ b/modules/sardinehollow_routing/selection/ServerSelector.cpp
@@ -36,7 +36,7 @@
 {
     const std::vector<Candidate> ranked = candidates(route, service, objectHash, tried);
     if (ranked.empty())
-        return {nullptr, SelectionReason::NoServer};
+        return {nullptr, SelectionReason::NoServer, {}};
     spreadPeerLoad(route, ranked);
     const std::vector<Candidate> fit = usable(ranked, now);
     return tried.empty() ? pickHome(route, service, objectHash, fit, now)
@@ -121,6 +121,7 @@
 {
     BackendStatePtr near;
     BackendStatePtr far;
+    SelectionInputs inputs;
     bool hasNear = false;
     bool hasFar = false;
     std::size_t nearSeen = 0;
@@ -130,6 +131,10 @@
         if (++seen > (candidate.isNear ? m_settings.nearHomes : m_settings.farHomes))
             continue;
         (candidate.isNear ? hasNear : hasFar) = true;
+        HomeState &home = candidate.isNear ? inputs.near : inputs.far;
+        if (home.server.empty())
+            home = {candidate.server->server().id, candidate.server->load(now),
+                    candidate.server->reportAge(now)};
         BackendStatePtr &chosen = candidate.isNear ? near : far;
         if (!chosen && hasRoom(route, *candidate.server, now))
             chosen = candidate.server;
@@ -139,7 +144,8 @@
     if (hasNear && hasFar) {
         SpillRamp &ramp = m_ramps[service];
         const double position = core::hashToUnit(core::combineHashes(objectHash, spillSalt));
-        prefersFar = position < ramp.level(now) && !route.isBulk;
+        inputs.spillLevel = ramp.level(now);
+        prefersFar = position < inputs.spillLevel && !route.isBulk;
         if (!prefersFar)
             ramp.observe(near != nullptr, now);
         if (!prefersFar && !near && !ramp.mayOverflow())
@@ -148,10 +154,10 @@
             ramp.onSent(!near || (prefersFar && far), now);
     }
     if (far && (prefersFar || !near))
-        return {far, SelectionReason::FarHome};
+        return {far, SelectionReason::FarHome, inputs};
     if (near)
-        return {near, SelectionReason::NearHome};
-    return {nullptr, SelectionReason::Overloaded};
+        return {near, SelectionReason::NearHome, inputs};
+    return {nullptr, SelectionReason::Overloaded, inputs};
 }
 
 Selection ServerSelector::pickAny(const Route &route, const std::vector<Candidate> &ranked,
@@ -159,9 +165,9 @@
 {
     for (const Candidate &candidate : ranked) {
         if (hasRoom(route, *candidate.server, now))
-            return {candidate.server, SelectionReason::Alternative};
+            return {candidate.server, SelectionReason::Alternative, {}};
     }
-    return {nullptr, SelectionReason::Overloaded};
+    return {nullptr, SelectionReason::Overloaded, {}};
 }
 
 bool ServerSelector::hasRoom(const Route &route, const BackendState &server,
--- a/modules/sardinehollow_routing/selection/SpillRamp.cpp
+++ b/modules/sardinehollow_routing/selection/SpillRamp.cpp
@@ -19,6 +19,8 @@
 constexpr double sentSeconds = 1.0;
 // A daemon without a past is free for this time; what it did then is where its ramp starts.
 constexpr core::Duration settlingTime = std::chrono::seconds(2);
+// Leaves requests that show whether the region has room again.
+constexpr double highestLevel = 0.9;
 // How far the share of requests that left may lie above the level.
 constexpr double overflowTolerance = 0.04;
 
@@ -49,9 +51,11 @@
     m_levelAt = now;
     if (isSettling(now))
         return m_level;
-    if (m_overflow > acceptedOverflow)
-        m_level = std::min(1.0, m_level + risePerSecond * elapsed);
-    else if (m_overflow < acceptedOverflow / 2)
+    // Fades without requests: at a high level few or none are left to observe.
+    const double overflow = averaged(m_overflow, 0, m_observedAt, now, overflowSeconds);
+    if (overflow > acceptedOverflow)
+        m_level = std::min(highestLevel, m_level + risePerSecond * elapsed);
+    else if (overflow < acceptedOverflow / 2)
         m_level = std::max(0.0, m_level - fallPerSecond * elapsed);
     return m_level;
 }
--- a/tests/routing/ServerSelectorTest.cpp
+++ b/tests/routing/ServerSelectorTest.cpp
@@ -136,3 +136,25 @@
     CHECK(leftIn(true, 200) <= 30);
     CHECK(leftIn(true, 200) <= 60);
 }
+
+TEST_CASE("Objects come back to their region once it has room again")
+{
+    // Guards against a level that stays at its highest because no request is left to show that
+    // the region has room.
+    RoutingWorld world;
+    routing::BackendState &near = world.add("near", "east-a");
+    world.add("far", "west-a");
+    const auto leftIn = [&](bool isNearFull, int requests) {
+        int left = 0;
+        for (int index = 0; index < requests; ++index) {
+            world.now += std::chrono::milliseconds(10);
+            near.onLoadReport(isNearFull ? 24 : 0, 0, 6, world.now);
+            const auto key = static_cast<std::uint64_t>(index) * 7919;
+            left += world.choose(key).reason == SelectionReason::FarHome ? 1 : 0;
+        }
+        return left;
+    };
+    leftIn(true, 3000);
+    leftIn(false, 4000);
+    CHECK(leftIn(false, 400) == 0);
+}
