--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -85,11 +85,11 @@
 
 } // namespace
 
-Exchange::Exchange(GatewayServices &services, ResponseSink &sink, Poco::Net::HTTPRequest request,
-                   core::HttpBodyFraming framing)
+Exchange::Exchange(GatewayServices &services, ResponseSink &sink,
+                   const Poco::Net::HTTPRequest &request, core::HttpBodyFraming framing)
     : m_services(services)
     , m_sink(sink)
-    , m_request(std::move(request))
+    , m_request(request)
     , m_framing(framing)
     , m_facts(services.protocol.readCallerRequest(m_request))
     , m_startedAt(services.loop.now())
--- a/modules/sardinehollow_gateway/exchange/Exchange.h
+++ b/modules/sardinehollow_gateway/exchange/Exchange.h
@@ -17,7 +17,7 @@
 class Exchange : public AttemptListener
 {
 public:
-    Exchange(GatewayServices &services, ResponseSink &sink, Poco::Net::HTTPRequest request,
+    Exchange(GatewayServices &services, ResponseSink &sink, const Poco::Net::HTTPRequest &request,
              core::HttpBodyFraming framing);
     ~Exchange() override;
 
