--- a/modules/sardinehollow_gateway/application/GatewayApplication.cpp
+++ b/modules/sardinehollow_gateway/application/GatewayApplication.cpp
@@ -132,7 +132,7 @@
 void GatewayApplication::checkSignals()
 {
     if (m_reloadRequested.exchange(false))
-        m_log.state(LogLine("reload").text("detail", "no setting can change while running"));
+        m_log.state(LogLine("reload").text("detail", "settings are read at the start only"));
     if (m_stopRequested.exchange(false) && m_stoppingSince.count() == 0)
         beginStop();
 }
--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -125,7 +125,8 @@
     const core::Duration wait
             = std::min(m_facts.timeLeft.value_or(m_route->timeout), m_route->timeout);
     m_deadline = m_startedAt + m_facts.timeLeft.value_or(m_route->timeout);
-    m_objectHash = core::stableHash(m_facts.object.empty() ? m_facts.requestId : m_facts.object);
+    const bool hasHome = m_route->hasAffinity && !m_facts.object.empty();
+    m_objectHash = core::stableHash(hasHome ? m_facts.object : m_facts.requestId);
     m_service = m_services.routing.startRequest(*m_route);
     m_timer = m_services.loop.schedule(wait, [this] { onTimeout(); });
 }
@@ -300,6 +301,7 @@
         return;
     }
     if (m_responseFacts.isOtherServer) {
+        m_server->onReplaced(m_services.loop.now());
         endAttempt(RetryReason::OtherServer, "the address belongs to another server");
         return;
     }
@@ -448,6 +450,7 @@
             .number("configuration",
                     m_table ? static_cast<std::int64_t>(m_table->configuration().version) : 0)
             .text("object", m_facts.object)
+            .number("rank", m_route ? m_route->rank : 0)
             .text("selection", toName(m_selectionReason))
             .number("attempts", m_attempts)
             .text("outcome", toName(outcome))
--- a/modules/sardinehollow_gateway/http/WireProtocol.h
+++ b/modules/sardinehollow_gateway/http/WireProtocol.h
@@ -70,7 +70,6 @@
     /** Returns the body of an answer to an entry query. */
     virtual std::string entryAnswer(const std::vector<std::string> &addresses,
                                     core::Duration lifetime) const = 0;
-    virtual bool isReadinessQuery(const Poco::Net::HTTPRequest &request) const = 0;
 };
 
 } // namespace sardinehollow::gateway
--- a/modules/sardinehollow_routing/backends/BackendServer.h
+++ b/modules/sardinehollow_routing/backends/BackendServer.h
@@ -15,7 +15,6 @@
     /** IP address and port. */
     std::string address;
     std::string failureDomain;
-    std::string softwareVersion;
     /** Requests that it runs at the same time. */
     std::uint32_t slots = 1;
     bool isDraining = false;
--- a/modules/sardinehollow_routing/backends/BackendState.cpp
+++ b/modules/sardinehollow_routing/backends/BackendState.cpp
@@ -16,6 +16,8 @@
 constexpr std::uint32_t toleratedFailures = 2;
 constexpr core::Duration firstAvoidance = std::chrono::milliseconds(500);
 constexpr core::Duration longestAvoidance = std::chrono::seconds(4);
+// The entry of a server that is gone vanishes within three of its heartbeats, about 5 s.
+constexpr core::Duration replacedAvoidance = std::chrono::seconds(6);
 
 } // namespace
 
@@ -102,6 +104,11 @@
     m_avoidUntil = now + std::min(firstAvoidance * (1U << doublings), longestAvoidance);
 }
 
+void BackendState::onReplaced(core::Instant now)
+{
+    m_avoidUntil = now + replacedAvoidance;
+}
+
 void BackendState::onSuccess()
 {
     m_consecutiveFailures = 0;
--- a/modules/sardinehollow_routing/backends/BackendState.h
+++ b/modules/sardinehollow_routing/backends/BackendState.h
@@ -56,6 +56,9 @@
     /** An attempt failed in a way that speaks against the server itself. */
     void onFailure(core::Instant now);
     void onSuccess();
+    /** Another server answered at its address: this one is gone, though its entry may still stand.
+     */
+    void onReplaced(core::Instant now);
     /** Whether the server failed lately, so that others are tried first. */
     bool isAvoided(core::Instant now) const { return now < m_avoidUntil; }
     std::uint32_t consecutiveFailures() const { return m_consecutiveFailures; }
--- a/tests/routing/ServerSelectorTest.cpp
+++ b/tests/routing/ServerSelectorTest.cpp
@@ -158,3 +158,16 @@
     leftIn(false, 4000);
     CHECK(leftIn(false, 400) == 0);
 }
+
+TEST_CASE("A server whose address another one has taken is passed over at once")
+{
+    // Guards against hundreds of requests sent to a dead server's address until its entry lapsed.
+    RoutingWorld world;
+    world.add("first", "east-a");
+    world.add("second", "east-a");
+    const std::string home = serverOf(world.choose(object));
+    world.registry.all().at(home)->onReplaced(world.now);
+    CHECK(serverOf(world.choose(object)) != home);
+    world.now += std::chrono::seconds(5);
+    CHECK(serverOf(world.choose(object)) != home);
+}
