--- a/modules/sardinehollow_gateway/application/DelayedRemoval.cpp
+++ b/modules/sardinehollow_gateway/application/DelayedRemoval.cpp
@@ -2,17 +2,29 @@
 
 namespace sardinehollow::gateway {
 
+namespace {
+
+// When a store has been down all leases may lapse. When only this daemon could not reach it, the
+// few keys that are missing belong to holders that have left.
+constexpr double lapsedShare = 0.5;
+
+} // namespace
+
 DelayedRemoval::DelayedRemoval(core::Duration reappearanceTime)
     : m_reappearanceTime(reappearanceTime)
 { }
 
-bool DelayedRemoval::onMissing(const std::string &key, core::Instant now)
+std::vector<std::string> DelayedRemoval::onMissing(const std::vector<std::string> &keys,
+                                                   std::size_t known, core::Instant now)
 {
     const core::Instant due = m_regainedAt + m_reappearanceTime;
-    if (now >= due)
-        return true;
-    m_due.emplace(key, due);
-    return false;
+    const bool haveLapsed
+            = static_cast<double>(keys.size()) > lapsedShare * static_cast<double>(known);
+    if (now >= due || !haveLapsed)
+        return keys;
+    for (const std::string &key : keys)
+        m_due.emplace(key, due);
+    return {};
 }
 
 std::vector<std::string> DelayedRemoval::takeDue(core::Instant now)
--- a/modules/sardinehollow_gateway/application/DelayedRemoval.h
+++ b/modules/sardinehollow_gateway/application/DelayedRemoval.h
@@ -18,8 +18,12 @@
     explicit DelayedRemoval(core::Duration reappearanceTime);
 
     void onStoreRegained(core::Instant now) { m_regainedAt = now; }
-    /** Returns whether the key is gone at once; if not, it is due later unless it is kept. */
-    bool onMissing(const std::string &key, core::Instant now);
+    /**
+     * Takes the keys that are missing by one report of the store, of so many known ones. Returns
+     * those that are gone at once; the others are due later unless they are kept.
+     */
+    std::vector<std::string> onMissing(const std::vector<std::string> &keys, std::size_t known,
+                                       core::Instant now);
     /** The key is in the store. */
     void keep(const std::string &key) { m_due.erase(key); }
     /** Takes the keys that did not come back in time. */
--- a/modules/sardinehollow_gateway/application/EntryTracker.cpp
+++ b/modules/sardinehollow_gateway/application/EntryTracker.cpp
@@ -33,18 +33,19 @@
         if (present.count(name) == 0)
             missing.push_back(name);
     }
-    for (const std::string &name : missing)
-        onMissing(name);
+    onMissing(missing);
 }
 
 void EntryTracker::onChanged(const std::vector<platform::KeyValue> &keyValues)
 {
+    std::vector<std::string> missing;
     for (const platform::KeyValue &keyValue : keyValues) {
         if (keyValue.isDeleted)
-            onMissing(nameOf(keyValue.key));
+            missing.push_back(nameOf(keyValue.key));
         else
             apply(keyValue);
     }
+    onMissing(missing);
 }
 
 void EntryTracker::apply(const platform::KeyValue &keyValue)
@@ -68,9 +69,10 @@
                                  .number("revision", keyValue.modRevision));
 }
 
-void EntryTracker::onMissing(const std::string &name)
+void EntryTracker::onMissing(const std::vector<std::string> &names)
 {
-    if (m_removals.onMissing(name, m_services.loop.now()))
+    const std::size_t known = m_services.routing.entries().daemons().size();
+    for (const std::string &name : m_removals.onMissing(names, known, m_services.loop.now()))
         remove(name);
 }
 
--- a/modules/sardinehollow_gateway/application/ServerTracker.cpp
+++ b/modules/sardinehollow_gateway/application/ServerTracker.cpp
@@ -23,18 +23,20 @@
         if (present.count(id) == 0)
             missing.push_back(id);
     }
-    for (const std::string &id : missing)
-        onMissing(id);
+    onMissing(missing);
 }
 
 void ServerTracker::onChanged(const std::vector<platform::KeyValue> &keyValues)
 {
+    std::vector<std::string> missing;
     for (const platform::KeyValue &keyValue : keyValues) {
-        if (keyValue.isDeleted)
-            onMissing(keyValue.key.substr(m_schema.serverPrefix().size()));
-        else
+        const std::string id = keyValue.key.substr(m_schema.serverPrefix().size());
+        if (!keyValue.isDeleted)
             apply(keyValue);
+        else if (m_services.routing.backends().contains(id))
+            missing.push_back(id);
     }
+    onMissing(missing);
 }
 
 void ServerTracker::apply(const platform::KeyValue &keyValue)
@@ -66,11 +68,10 @@
                                  .number("revision", keyValue.modRevision));
 }
 
-void ServerTracker::onMissing(const std::string &id)
+void ServerTracker::onMissing(const std::vector<std::string> &ids)
 {
-    if (!m_services.routing.backends().contains(id))
-        return;
-    if (m_removals.onMissing(id, m_services.loop.now()))
+    const std::size_t known = m_services.routing.backends().all().size();
+    for (const std::string &id : m_removals.onMissing(ids, known, m_services.loop.now()))
         remove(id, "its entry is gone");
 }
 
--- a/modules/sardinehollow_gateway/application/ServerTracker.h
+++ b/modules/sardinehollow_gateway/application/ServerTracker.h
@@ -26,7 +26,7 @@
 
 private:
     void apply(const platform::KeyValue &keyValue);
-    void onMissing(const std::string &id);
+    void onMissing(const std::vector<std::string> &ids);
     void remove(const std::string &id, const char *reason);
 
     GatewayServices &m_services;
--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -342,7 +342,10 @@
 void Exchange::onAttemptFailed(AttemptFailure failure, const std::string &detail)
 {
     m_backend = nullptr;
-    m_server->onFailure(m_services.loop.now());
+    if (failure == AttemptFailure::NotConnected)
+        m_server->onUnreachable(m_services.loop.now());
+    else
+        m_server->onFailure(m_services.loop.now());
     if (m_isStreaming) {
         m_sink.abortResponse();
         finish(RequestOutcome::ResponseCut, m_response->getStatus(), detail);
--- a/modules/sardinehollow_platform/mirror/PrefixMirror.cpp
+++ b/modules/sardinehollow_platform/mirror/PrefixMirror.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 constexpr core::Duration firstPause = std::chrono::milliseconds(100);
-constexpr core::Duration longestPause = std::chrono::milliseconds(800);
+constexpr core::Duration longestPause = std::chrono::milliseconds(500);
 
 } // namespace
 
--- a/modules/sardinehollow_routing/backends/BackendState.cpp
+++ b/modules/sardinehollow_routing/backends/BackendState.cpp
@@ -104,6 +104,18 @@
     m_avoidUntil = now + std::min(firstAvoidance * (1U << doublings), longestAvoidance);
 }
 
+void BackendState::onUnreachable(core::Instant now)
+{
+    m_consecutiveFailures = std::max(m_consecutiveFailures, toleratedFailures - 1);
+    onFailure(now);
+}
+
+bool BackendState::isAvoided(core::Instant now) const
+{
+    const bool isUnderTrial = m_consecutiveFailures >= toleratedFailures && m_inFlight > 0;
+    return now < m_avoidUntil || isUnderTrial;
+}
+
 void BackendState::onReplaced(core::Instant now)
 {
     m_avoidUntil = now + replacedAvoidance;
--- a/modules/sardinehollow_routing/backends/BackendState.h
+++ b/modules/sardinehollow_routing/backends/BackendState.h
@@ -55,12 +55,17 @@
 
     /** An attempt failed in a way that speaks against the server itself. */
     void onFailure(core::Instant now);
+    /** No connection could be made, which a sound server hardly ever causes. */
+    void onUnreachable(core::Instant now);
     void onSuccess();
     /** Another server answered at its address: this one is gone, though its entry may still stand.
      */
     void onReplaced(core::Instant now);
-    /** Whether the server failed lately, so that others are tried first. */
-    bool isAvoided(core::Instant now) const { return now < m_avoidUntil; }
+    /**
+     * Whether the server failed lately, so that others are tried first. When its time is over one
+     * request at a time finds out whether it is well again.
+     */
+    bool isAvoided(core::Instant now) const;
     std::uint32_t consecutiveFailures() const { return m_consecutiveFailures; }
 
     bool isCold(core::Instant now) const { return now < m_coldUntil; }
--- a/tests/gateway/DelayedRemovalTest.cpp
+++ b/tests/gateway/DelayedRemovalTest.cpp
@@ -7,23 +7,34 @@
 using namespace std::chrono_literals;
 using gateway::DelayedRemoval;
 
-TEST_CASE("An entry that lapsed during an outage may come back for a while")
+using Keys = std::vector<std::string>;
+
+TEST_CASE("Entries that lapsed during an outage may come back for a while")
 {
     // Guards against refusing everything on the store's return because all entries had lapsed.
     DelayedRemoval removals(2s);
     core::Instant now = 100s;
-    CHECK(removals.onMissing("before", now));
+    CHECK(removals.onMissing({"before"}, 1, now) == Keys {"before"});
     removals.onStoreRegained(now);
     now += 500ms;
-    CHECK_FALSE(removals.onMissing("returns", now));
-    CHECK_FALSE(removals.onMissing("stays away", now));
+    CHECK(removals.onMissing({"returns", "stays away"}, 3, now).empty());
     now += 1s;
     removals.keep("returns");
     CHECK(removals.takeDue(now).empty());
     now += 600ms;
-    CHECK(removals.takeDue(now) == std::vector<std::string> {"stays away"});
+    CHECK(removals.takeDue(now) == Keys {"stays away"});
     CHECK(removals.takeDue(now).empty());
-    CHECK(removals.onMissing("later", now));
+    CHECK(removals.onMissing({"later", "as well"}, 3, now).size() == 2);
+}
+
+TEST_CASE("Few missing entries after this daemon alone was cut off are gone at once")
+{
+    // Guards against requests to servers that left while the daemon could not reach the store.
+    DelayedRemoval removals(2s);
+    const core::Instant now = 100s;
+    removals.onStoreRegained(now);
+    CHECK(removals.onMissing({"left"}, 10, now) == Keys {"left"});
+    CHECK(removals.takeDue(now + 10s).empty());
 }
 
 TEST_CASE("A log line stays one JSON object whatever a caller sends")
--- a/tests/routing/BackendStateTest.cpp
+++ b/tests/routing/BackendStateTest.cpp
@@ -56,6 +56,25 @@
     CHECK(server.expectedLatency(now) > 265ms);
 }
 
+TEST_CASE(
+        "A server that cannot be reached is passed over at once and tried by one request at a time")
+{
+    // Guards against each daemon's requests waiting for a dead server at the same time, first until
+    // two had failed and then again whenever the time of passing it over was up.
+    routing::BackendState server = makeServer();
+    core::Instant now = 10s;
+    server.onUnreachable(now);
+    CHECK(server.isAvoided(now));
+    now += 5s;
+    CHECK_FALSE(server.isAvoided(now));
+    server.onSent(now);
+    CHECK(server.isAvoided(now));
+    server.onEnded();
+    server.onSuccess();
+    server.onSent(now);
+    CHECK_FALSE(server.isAvoided(now));
+}
+
 TEST_CASE("A server that starts again under its id starts without a past")
 {
     RoutingWorld world;
