--- a/modules/sardinehollow_gateway/application/DelayedRemoval.cpp
+++ b/modules/sardinehollow_gateway/application/DelayedRemoval.cpp
@@ -15,11 +15,11 @@
 { }
 
 std::vector<std::string> DelayedRemoval::onMissing(const std::vector<std::string> &keys,
-                                                   std::size_t known, core::Instant now)
+                                                   std::size_t removed, std::size_t known,
+                                                   core::Instant now)
 {
     const core::Instant due = m_regainedAt + m_reappearanceTime;
-    const bool haveLapsed
-            = static_cast<double>(keys.size()) > lapsedShare * static_cast<double>(known);
+    const bool haveLapsed = static_cast<double>(removed) > lapsedShare * static_cast<double>(known);
     if (now >= due || !haveLapsed)
         return keys;
     for (const std::string &key : keys)
--- a/modules/sardinehollow_gateway/application/DelayedRemoval.h
+++ b/modules/sardinehollow_gateway/application/DelayedRemoval.h
@@ -19,11 +19,12 @@
 
     void onStoreRegained(core::Instant now) { m_regainedAt = now; }
     /**
-     * Takes the keys that are missing by one report of the store, of so many known ones. Returns
-     * those that are gone at once; the others are due later unless they are kept.
+     * Takes the keys that are missing after one report of the store, which removed so many of the
+     * known ones, also those that it wrote again. Returns the keys that are gone at once; the
+     * others are due later unless they are kept.
      */
-    std::vector<std::string> onMissing(const std::vector<std::string> &keys, std::size_t known,
-                                       core::Instant now);
+    std::vector<std::string> onMissing(const std::vector<std::string> &keys, std::size_t removed,
+                                       std::size_t known, core::Instant now);
     /** The key is in the store. */
     void keep(const std::string &key) { m_due.erase(key); }
     /** Takes the keys that did not come back in time. */
--- a/modules/sardinehollow_gateway/application/EntryTracker.cpp
+++ b/modules/sardinehollow_gateway/application/EntryTracker.cpp
@@ -33,19 +33,24 @@
         if (present.count(name) == 0)
             missing.push_back(name);
     }
-    onMissing(missing);
+    onMissing(missing, missing.size());
 }
 
 void EntryTracker::onChanged(const std::vector<platform::KeyValue> &keyValues)
 {
-    std::vector<std::string> missing;
+    std::size_t removed = 0;
+    std::set<std::string> missing;
     for (const platform::KeyValue &keyValue : keyValues) {
-        if (keyValue.isDeleted)
-            missing.push_back(nameOf(keyValue.key));
-        else
+        const std::string name = nameOf(keyValue.key);
+        if (keyValue.isDeleted) {
+            missing.insert(name);
+            ++removed;
+        } else {
+            missing.erase(name);
             apply(keyValue);
+        }
     }
-    onMissing(missing);
+    onMissing({missing.begin(), missing.end()}, removed);
 }
 
 void EntryTracker::apply(const platform::KeyValue &keyValue)
@@ -69,10 +74,11 @@
                                  .number("revision", keyValue.modRevision));
 }
 
-void EntryTracker::onMissing(const std::vector<std::string> &names)
+void EntryTracker::onMissing(const std::vector<std::string> &names, std::size_t removed)
 {
     const std::size_t known = m_services.routing.entries().daemons().size();
-    for (const std::string &name : m_removals.onMissing(names, known, m_services.loop.now()))
+    for (const std::string &name :
+         m_removals.onMissing(names, removed, known, m_services.loop.now()))
         remove(name);
 }
 
--- a/modules/sardinehollow_gateway/application/EntryTracker.h
+++ b/modules/sardinehollow_gateway/application/EntryTracker.h
@@ -24,7 +24,7 @@
 
 private:
     void apply(const platform::KeyValue &keyValue);
-    void onMissing(const std::vector<std::string> &names);
+    void onMissing(const std::vector<std::string> &names, std::size_t removed);
     void remove(const std::string &name);
 
     GatewayServices &m_services;
--- a/modules/sardinehollow_gateway/application/ServerTracker.cpp
+++ b/modules/sardinehollow_gateway/application/ServerTracker.cpp
@@ -23,20 +23,24 @@
         if (present.count(id) == 0)
             missing.push_back(id);
     }
-    onMissing(missing);
+    onMissing(missing, missing.size());
 }
 
 void ServerTracker::onChanged(const std::vector<platform::KeyValue> &keyValues)
 {
-    std::vector<std::string> missing;
+    std::size_t removed = 0;
+    std::set<std::string> missing;
     for (const platform::KeyValue &keyValue : keyValues) {
         const std::string id = keyValue.key.substr(m_schema.serverPrefix().size());
-        if (!keyValue.isDeleted)
+        if (!keyValue.isDeleted) {
+            missing.erase(id);
             apply(keyValue);
-        else if (m_services.routing.backends().contains(id))
-            missing.push_back(id);
+        } else if (m_services.routing.backends().contains(id)) {
+            missing.insert(id);
+            ++removed;
+        }
     }
-    onMissing(missing);
+    onMissing({missing.begin(), missing.end()}, removed);
 }
 
 void ServerTracker::apply(const platform::KeyValue &keyValue)
@@ -68,10 +72,10 @@
                                  .number("revision", keyValue.modRevision));
 }
 
-void ServerTracker::onMissing(const std::vector<std::string> &ids)
+void ServerTracker::onMissing(const std::vector<std::string> &ids, std::size_t removed)
 {
     const std::size_t known = m_services.routing.backends().all().size();
-    for (const std::string &id : m_removals.onMissing(ids, known, m_services.loop.now()))
+    for (const std::string &id : m_removals.onMissing(ids, removed, known, m_services.loop.now()))
         remove(id, "its entry is gone");
 }
 
--- a/modules/sardinehollow_gateway/application/ServerTracker.h
+++ b/modules/sardinehollow_gateway/application/ServerTracker.h
@@ -26,7 +26,7 @@
 
 private:
     void apply(const platform::KeyValue &keyValue);
-    void onMissing(const std::vector<std::string> &ids);
+    void onMissing(const std::vector<std::string> &ids, std::size_t removed);
     void remove(const std::string &id, const char *reason);
 
     GatewayServices &m_services;
--- a/tests/gateway/DelayedRemovalTest.cpp
+++ b/tests/gateway/DelayedRemovalTest.cpp
@@ -14,17 +14,17 @@
     // Guards against refusing everything on the store's return because all entries had lapsed.
     DelayedRemoval removals(2s);
     core::Instant now = 100s;
-    CHECK(removals.onMissing({"before"}, 1, now) == Keys {"before"});
+    CHECK(removals.onMissing({"before"}, 1, 1, now) == Keys {"before"});
     removals.onStoreRegained(now);
     now += 500ms;
-    CHECK(removals.onMissing({"returns", "stays away"}, 3, now).empty());
+    CHECK(removals.onMissing({"returns", "stays away"}, 2, 3, now).empty());
     now += 1s;
     removals.keep("returns");
     CHECK(removals.takeDue(now).empty());
     now += 600ms;
     CHECK(removals.takeDue(now) == Keys {"stays away"});
     CHECK(removals.takeDue(now).empty());
-    CHECK(removals.onMissing({"later", "as well"}, 3, now).size() == 2);
+    CHECK(removals.onMissing({"later", "as well"}, 2, 3, now).size() == 2);
 }
 
 TEST_CASE("Few missing entries after this daemon alone was cut off are gone at once")
@@ -33,7 +33,7 @@
     DelayedRemoval removals(2s);
     const core::Instant now = 100s;
     removals.onStoreRegained(now);
-    CHECK(removals.onMissing({"left"}, 10, now) == Keys {"left"});
+    CHECK(removals.onMissing({"left"}, 1, 10, now) == Keys {"left"});
     CHECK(removals.takeDue(now + 10s).empty());
 }
 
