Give listeners of tests a loopback address that no outgoing connection uses

The port was closed again until its listener started, and the kernel gave it to an outgoing connection of another test that ran at the same time; all of them used 127.0.0.1. The fixture of the adapter tests reserved its ports in the same way.

Now each process reserves ports on a loopback address made from its process id. Connections leave from 127.0.0.1, so that none of them can hold a port of that address. A port is returned once only.

Ruled out: ports below the ephemeral range, which two test processes can choose at the same time.

--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -11,7 +11,19 @@
 import urllib.error
 import urllib.request
 
-ADDRESS = "127.0.0.1"
+
+def process_address():
+    """Returns a loopback address that no other living process uses.
+
+    Connections leave from 127.0.0.1, so the kernel cannot give a reserved port of this address to
+    the connection of another program between the reservation and the start of the listener.
+    """
+    process = os.getpid()
+    return f"127.{64 + (process >> 16) % 64}.{process >> 8 & 255}.{process & 255}"
+
+
+ADDRESS = process_address()
+RESERVED_PORTS = set()
 SERVICE_TIMES_MS = {
     "stop-times": 60, "service-changes": 200, "archives": 200,
     "records": 60, "bookings": 200, "recordings": 200,
@@ -19,11 +31,17 @@
 
 
 def free_ports(count):
-    """Returns ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind((ADDRESS, 0))
-    ports = [item.getsockname()[1] for item in sockets]
+    """Returns ports of ADDRESS that are free and were not returned before."""
+    sockets = []
+    ports = []
+    while len(ports) < count:
+        sockets.append(socket.socket())
+        sockets[-1].bind((ADDRESS, 0))
+        port = sockets[-1].getsockname()[1]
+        if port in RESERVED_PORTS:
+            continue
+        RESERVED_PORTS.add(port)
+        ports.append(port)
     for item in sockets:
         item.close()
     return ports
--- a/tests/adapter/GatewayFixture.h
+++ b/tests/adapter/GatewayFixture.h
@@ -17,6 +17,7 @@
 #include <sstream>
 #include <string>
 #include <thread>
+#include <unistd.h>
 
 namespace sardinehollow::tests {
 
@@ -156,9 +157,14 @@
         return head.substr(value, head.find("\r\n", value) - value);
     }
 
+    // Loopback address of this process alone. Connections leave from 127.0.0.1, so that none of
+    // them can take the port before the application listens.
     static std::string freeAddress()
     {
-        return Poco::Net::ServerSocket(Poco::Net::SocketAddress("127.0.0.1:0"))
+        const int process = ::getpid();
+        const std::string host = "127." + std::to_string(64 + (process >> 16) % 64) + "."
+                + std::to_string(process >> 8 & 255) + "." + std::to_string(process & 255);
+        return Poco::Net::ServerSocket(Poco::Net::SocketAddress(host, 0))
                 .address()
                 .toString();
     }
--- a/tests/processes/ctl_contract.py
+++ b/tests/processes/ctl_contract.py
@@ -10,7 +10,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path.insert(0, str(ROOT / "scripts"))
-from deployment import Deployment, free_ports, http  # noqa: E402
+from deployment import ADDRESS, Deployment, free_ports, http  # noqa: E402
 
 BUILD = sys.argv.pop(1)
 
@@ -37,7 +37,7 @@
         """Guards against scripts that take a failure for a success or the reverse."""
         self.deployment.write("broken.json", {"schemaVersion": 1})
         broken = self.deployment.path("broken.json")
-        unreachable = ["--store", f"127.0.0.1:{free_ports(1)[0]}"]
+        unreachable = ["--store", f"{ADDRESS}:{free_ports(1)[0]}"]
         table = [
             (0, "valid", "validate", self.file),
             (2, "cannot read", "validate", self.deployment.path("none.json")),
@@ -83,7 +83,7 @@
 
     def test_wait_reports_daemons_that_do_not_answer(self):
         """Guards against --wait taking silence for the generation in force."""
-        missing = f"127.0.0.1:{free_ports(1)[0]}"
+        missing = f"{ADDRESS}:{free_ports(1)[0]}"
         self.check(6, "no answer", "submit", self.file, *self.store, "--wait", "--daemons",
                    missing, "--timeout", "1")
 
