Wait briefly for the outcome of a claim that is about to be recorded

The outcome of a posting is written to the store after the caller has its response, in two calls; a caller that repeats its request at another daemon at once reads the record before that.

A repeat that meets the record of a run in progress reads it again after 20 ms and after another 80 ms, if its deadline allows, before it is answered as unknown. Ruled out: holding the first response back until the record is written, since a final answer is given at once.

--- a/modules/sardinehollow_daemon/application/DaemonApplication.cpp
+++ b/modules/sardinehollow_daemon/application/DaemonApplication.cpp
@@ -38,6 +38,11 @@
             std::chrono::system_clock::now().time_since_epoch());
 }
 
+void waitOnThread(core::Duration duration)
+{
+    std::this_thread::sleep_for(duration);
+}
+
 // Distinguishes this run of the daemon from earlier ones on the same VM and is above theirs.
 std::uint64_t makeIncarnation()
 {
@@ -68,7 +73,7 @@
     , m_forwardThreads(m_settings.forwardThreads)
     , m_forwarder(m_clock, m_policy, m_settings.failureDomain)
     , m_backendPoller(m_clock, m_policy, m_forwarder.pool())
-    , m_storeClaims(m_store, m_clock, wallClock, m_settings.deployment,
+    , m_storeClaims(m_store, m_clock, wallClock, waitOnThread, m_settings.deployment,
                     m_settings.vm + "/" + std::to_string(m_incarnation))
     , m_claimJournal(m_store, m_settings.deployment, m_settings.failureDomain)
     , m_claims({m_settings.vm, m_settings.failureDomain, m_incarnation}, m_claimJournal,
--- a/modules/sardinehollow_daemon/claims/StoreClaimGate.cpp
+++ b/modules/sardinehollow_daemon/claims/StoreClaimGate.cpp
@@ -26,6 +26,10 @@
 constexpr std::size_t deletesPerTransaction = 50;
 constexpr std::size_t reportLimit = 10000;
 constexpr std::chrono::minutes reportWait {10};
+// The outcome is written after the caller has its response, so that a caller that repeats its
+// request at once can be faster. Two calls to the store take a few milliseconds.
+constexpr std::array<core::Duration, 2> outcomePauses {std::chrono::milliseconds(20),
+                                                       std::chrono::milliseconds(80)};
 // Several times the store's time-out.
 constexpr std::chrono::seconds delayedWriteTime {5};
 
@@ -63,11 +67,12 @@
 } // namespace
 
 StoreClaimGate::StoreClaimGate(platform::KeyValueStore &store, const core::MonotonicClock &clock,
-                               WallClock wallClock, const std::string &deployment,
+                               WallClock wallClock, Wait wait, const std::string &deployment,
                                std::string owner)
     : m_store(store)
     , m_clock(clock)
     , m_wallClock(std::move(wallClock))
+    , m_wait(std::move(wait))
     , m_prefix("sardinehollow/" + deployment + "/claims/unscoped/")
     , m_owner(std::move(owner))
     , m_nextPart(core::stableHash(m_owner))
@@ -97,26 +102,47 @@
 ClaimAnswer StoreClaimGate::readRecord(const entry::ClaimRequest &request, const std::string &key,
                                        std::uint64_t number, bool heldByOther)
 {
-    const core::Result<platform::RangeResult> found = m_store.range(purpose, key, false);
-    if (!found && heldByOther)
-        return {ClaimStart::Unknown, RefusalReason::ClaimUnaccounted, 0, {}, number};
-    if (!found || found->keyValues.empty())
-        return abandon(key, number);
-    const Poco::JSON::Object::Ptr record = parseRecord(found->keyValues.front().value);
+    const ClaimAnswer inProgress {ClaimStart::Unknown, RefusalReason::KeyInProgress, 0, {}, number};
+    for (std::size_t reads = 0;; ++reads) {
+        const core::Result<platform::RangeResult> found = m_store.range(purpose, key, false);
+        if (!found && reads > 0)
+            return inProgress;
+        if (!found && heldByOther)
+            return {ClaimStart::Unknown, RefusalReason::ClaimUnaccounted, 0, {}, number};
+        if (!found || found->keyValues.empty())
+            return abandon(key, number);
+        const std::optional<ClaimAnswer> answer
+                = answerFrom(found->keyValues.front().value, request, number);
+        if (answer)
+            return *answer;
+        const bool mayWait = reads < outcomePauses.size()
+                && m_clock.now() + outcomePauses[reads] < request.deadline;
+        if (!mayWait)
+            return inProgress;
+        m_wait(outcomePauses[reads]);
+    }
+}
+
+std::optional<ClaimAnswer> StoreClaimGate::answerFrom(const std::string &text,
+                                                      const entry::ClaimRequest &request,
+                                                      std::uint64_t number) const
+{
+    const Poco::JSON::Object::Ptr record = parseRecord(text);
     const std::string state = field(record, "state");
     if (field(record, "claim") == claimText(number))
-        return {ClaimStart::Proceed, RefusalReason::None, 0, {}, number};
+        return ClaimAnswer {ClaimStart::Proceed, RefusalReason::None, 0, {}, number};
     const bool readable = state == begunState || state == finishedState;
     if (!readable)
-        return {ClaimStart::Unknown, RefusalReason::ClaimUnaccounted, 0, {}, number};
+        return ClaimAnswer {ClaimStart::Unknown, RefusalReason::ClaimUnaccounted, 0, {}, number};
     if (field(record, "content") != request.contentDigest)
-        return {ClaimStart::Refuse, RefusalReason::KeyReused, 0, {}, number};
+        return ClaimAnswer {ClaimStart::Refuse, RefusalReason::KeyReused, 0, {}, number};
     if (state == begunState)
-        return {ClaimStart::Unknown, RefusalReason::KeyInProgress, 0, {}, number};
+        return std::nullopt;
     const int status = record->optValue<int>("status", 0);
     if (status == 0)
-        return {ClaimStart::Unknown, RefusalReason::AnswerTruncated, 0, {}, number};
-    return {ClaimStart::Replay, RefusalReason::None, status, field(record, "body"), number};
+        return ClaimAnswer {ClaimStart::Unknown, RefusalReason::AnswerTruncated, 0, {}, number};
+    return ClaimAnswer {ClaimStart::Replay, RefusalReason::None, status, field(record, "body"),
+                        number};
 }
 
 ClaimAnswer StoreClaimGate::abandon(const std::string &key, std::uint64_t number)
--- a/modules/sardinehollow_daemon/claims/StoreClaimGate.h
+++ b/modules/sardinehollow_daemon/claims/StoreClaimGate.h
@@ -20,10 +20,13 @@
 public:
     /** Returns the time since the Unix epoch. */
     using WallClock = std::function<std::chrono::seconds()>;
+    /** Blocks the calling thread for the given time. */
+    using Wait = std::function<void(core::Duration)>;
 
     /** The owner names this run of the daemon. */
     StoreClaimGate(platform::KeyValueStore &store, const core::MonotonicClock &clock,
-                   WallClock wallClock, const std::string &deployment, std::string owner);
+                   WallClock wallClock, Wait wait, const std::string &deployment,
+                   std::string owner);
 
     entry::ClaimAnswer begin(const entry::ClaimRequest &request) override;
     void finish(const entry::ClaimRequest &request, int status, const std::string &body) override;
@@ -56,6 +59,10 @@
 
     entry::ClaimAnswer readRecord(const entry::ClaimRequest &request, const std::string &key,
                                   std::uint64_t number, bool heldByOther);
+    /** Answers from a record of another claim; nothing if its outcome may be about to be written. */
+    std::optional<entry::ClaimAnswer> answerFrom(const std::string &record,
+                                                 const entry::ClaimRequest &request,
+                                                 std::uint64_t number) const;
     entry::ClaimAnswer abandon(const std::string &key, std::uint64_t number);
     Applied apply(const Report &report);
     void report(Report report);
@@ -66,6 +73,7 @@
     platform::KeyValueStore &m_store;
     const core::MonotonicClock &m_clock;
     const WallClock m_wallClock;
+    const Wait m_wait;
     const std::string m_prefix;
     const std::string m_owner;
     mutable std::mutex m_mutex;
--- a/tests/daemon/StoreClaimGateTest.cpp
+++ b/tests/daemon/StoreClaimGateTest.cpp
@@ -22,9 +22,19 @@
     FaultyStore firstLink {store};
     FaultyStore secondLink {store};
     std::chrono::seconds wall {1000000};
-    daemon::StoreClaimGate first {firstLink, clock, [this] { return wall; }, "test", "east-a-1/1"};
-    daemon::StoreClaimGate second {secondLink, clock, [this] { return wall; }, "test",
-                                   "east-a-2/1"};
+    /** What happens while a gate waits. */
+    std::function<void()> onWait = [] {};
+    daemon::StoreClaimGate first = makeGate(firstLink, "east-a-1/1");
+    daemon::StoreClaimGate second = makeGate(secondLink, "east-a-2/1");
+
+    daemon::StoreClaimGate makeGate(platform::KeyValueStore &link, const std::string &owner)
+    {
+        const auto wait = [this](core::Duration duration) {
+            clock.advance(duration);
+            onWait();
+        };
+        return {link, clock, [this] { return wall; }, wait, "test", owner};
+    }
 
     static entry::ClaimRequest request(const std::string &content = "content")
     {
@@ -98,6 +108,37 @@
     REQUIRE(fixture.first.openReports() == 0);
 }
 
+TEST_CASE("A repeat that is faster than the record of the outcome gets the outcome")
+{
+    // A caller that repeated at once at another daemon was told that its key was in progress.
+    struct Case
+    {
+        const char *name;
+        bool finishes;
+        core::Duration untilDeadline;
+        ClaimStart repeated;
+    };
+    const Case item = GENERATE(Case {"the outcome is about to be written", true, 1s,
+                                     ClaimStart::Replay},
+                               Case {"the run goes on", false, 1s, ClaimStart::Unknown},
+                               Case {"the repeat cannot wait", true, 5ms, ClaimStart::Unknown});
+    CAPTURE(item.name);
+    Fixture fixture;
+    entry::ClaimRequest request = Fixture::request();
+    REQUIRE(Fixture::begin(fixture.first, request) == ClaimStart::Proceed);
+    fixture.onWait = [&] {
+        if (item.finishes)
+            fixture.first.finish(request, 201, "made");
+    };
+    entry::ClaimRequest repeat = Fixture::request();
+    repeat.deadline = fixture.clock.now() + item.untilDeadline;
+    const entry::ClaimAnswer answer = fixture.second.begin(repeat);
+    CHECK(answer.start == item.repeated);
+    if (item.repeated == ClaimStart::Unknown)
+        CHECK(answer.reason == RefusalReason::KeyInProgress);
+    CHECK(fixture.clock.now() < repeat.deadline);
+}
+
 TEST_CASE("The late end of an earlier claim leaves a newer claim alone")
 {
     // An unguarded release deleted the newer claim, so that its key could run twice.
