--- a/modules/sardinehollow_config/settings/DaemonSettings.cpp
+++ b/modules/sardinehollow_config/settings/DaemonSettings.cpp
@@ -23,12 +23,8 @@
     settings.storeAddresses = reader.texts("storeAddresses", true);
     settings.vmListAddress = reader.text("vmListAddress");
     settings.peerSeeds = reader.texts("peerSeeds", false);
-    settings.callerThreads
-            = static_cast<std::uint32_t>(reader.integer("callerThreads", 1, maximumThreads, 256));
-    settings.forwardThreads
-            = static_cast<std::uint32_t>(reader.integer("forwardThreads", 1, maximumThreads, 256));
-    settings.operatorThreads
-            = static_cast<std::uint32_t>(reader.integer("operatorThreads", 1, 64, 4));
+    settings.claimThreads
+            = static_cast<std::uint32_t>(reader.integer("claimThreads", 1, maximumThreads, 256));
     settings.idleTimeout
             = std::chrono::milliseconds(reader.integer("idleTimeoutMs", 100, 3'600'000, 30'000));
     settings.logJson = reader.boolean("logJson", false);
--- a/modules/sardinehollow_config/settings/DaemonSettings.h
+++ b/modules/sardinehollow_config/settings/DaemonSettings.h
@@ -29,10 +29,8 @@
     /** Daemons of the failure domain, as "VM@IP:port" of their peer address; used until the VM list
      * has answered once. */
     std::vector<std::string> peerSeeds;
-    /** Threads of the caller listener; each open connection holds one. */
-    std::uint32_t callerThreads = 0;
-    std::uint32_t forwardThreads = 0;
-    std::uint32_t operatorThreads = 0;
+    /** Keys of non-idempotent requests that may be claimed at a time; each holds a thread. */
+    std::uint32_t claimThreads = 0;
     /** Time after which an idle caller connection is closed. */
     std::chrono::milliseconds idleTimeout {0};
     bool logJson = false;
--- a/modules/sardinehollow_daemon/application/DaemonApplication.cpp
+++ b/modules/sardinehollow_daemon/application/DaemonApplication.cpp
@@ -1,8 +1,6 @@
 #include "sardinehollow_daemon/application/DaemonApplication.h"
 
 #include "sardinehollow_daemon/status/PoolStatusJson.h"
-#include "sardinehollow_entry/handlers/CallerHandlerFactory.h"
-#include "sardinehollow_entry/handlers/OperatorHandlerFactory.h"
 #include "sardinehollow_metrics/PrometheusWriter.h"
 
 #include <Poco/JSON/Object.h>
@@ -18,7 +16,6 @@
 constexpr std::chrono::milliseconds storeTimeout {1000};
 constexpr std::chrono::milliseconds vmListTimeout {1000};
 constexpr std::chrono::milliseconds advanceInterval {5};
-constexpr std::chrono::milliseconds backendInterval {1000};
 constexpr std::chrono::milliseconds drainPoll {20};
 constexpr std::chrono::milliseconds claimInterval {10};
 constexpr std::chrono::milliseconds shiftInterval {10};
@@ -69,17 +66,12 @@
     , m_incarnation(makeIncarnation())
     , m_store(m_settings.storeAddresses, storeTimeout)
     , m_vmList(m_settings.vmListAddress, vmListTimeout)
-    , m_callerThreads(m_settings.callerThreads)
-    , m_forwardThreads(m_settings.forwardThreads)
-    , m_forwarder(m_clock, m_policy, m_settings.failureDomain)
-    , m_backendPoller(m_clock, m_policy, m_forwarder.pool())
     , m_storeClaims(m_store, m_clock, wallClock, waitOnThread, m_settings.deployment,
                     m_settings.vm + "/" + std::to_string(m_incarnation))
     , m_claimJournal(m_store, m_settings.deployment, m_settings.failureDomain)
     , m_claims({m_settings.vm, m_settings.failureDomain, m_incarnation}, m_claimJournal,
                m_storeClaims, m_clock, m_metrics)
-    , m_services {m_clock,   m_policy,        m_board,          m_forwarder,  m_claims,
-                  m_metrics, m_callerThreads, m_forwardThreads, m_incarnation}
+    , m_services {m_clock, m_policy, m_claims, m_metrics, m_settings.failureDomain, m_incarnation}
     , m_configurationStore(m_store, m_settings.deployment, platform::CallPurpose::Configuration)
     , m_transport(transportSettings(m_settings, m_incarnation), m_clock)
     , m_peers(m_settings, m_vmList, m_policy, m_transport, m_clock, m_incarnation)
@@ -91,13 +83,15 @@
 {
     m_services.shifts = &m_shifts;
     m_services.trustCallerHeader = m_settings.trustCallerHeader;
-    startListeners();
+    startServers();
     startTasks();
     spdlog::info("daemon {} of {} started", m_settings.vm, m_settings.failureDomain);
 }
 
 DaemonApplication::~DaemonApplication()
 {
+    // Claims that are waiting need the tasks for their answers.
+    m_entry->stop();
     m_tasks.clear();
     m_steering.stop();
     m_peers.stop();
@@ -116,8 +110,7 @@
     std::this_thread::sleep_for(announceTime);
     if (configuration)
         std::this_thread::sleep_for(configuration->answerLifetime);
-    m_callerListener->stopAccepting();
-    m_forwardListener->stopAccepting();
+    m_entry->stopAccepting();
     waitUntilIdle();
     // Reports that are lost make repeats unknown; a store outage must not keep the daemon.
     const core::Instant limit = m_clock.now() + claimReportWait;
@@ -184,7 +177,7 @@
         writer.family(name, help, "counter");
         writer.sample(name, {}, std::to_string(value));
     };
-    const entry::ConnectionPool &pool = m_forwarder.pool();
+    const entry::ForwardPool &pool = m_entry->pool();
     addCounter("vm_list_calls_total", "Reads of the platform's list of VMs.", m_vmList.calls());
     addCounter("connections_opened_total", "Connections opened to servers and peers.",
                pool.opened());
@@ -196,26 +189,23 @@
             + m_replication.metricsText() + m_steering.metricsText() + m_shifts.metricsText();
 }
 
-void DaemonApplication::startListeners()
+void DaemonApplication::startServers()
 {
-    m_operatorListener = std::make_unique<entry::HttpListener>(
-            m_settings.operatorAddress, m_settings.operatorThreads, m_settings.idleTimeout,
-            new entry::OperatorHandlerFactory(*this));
-    m_forwardListener = std::make_unique<entry::HttpListener>(
-            m_settings.forwardAddress, m_settings.forwardThreads, m_settings.idleTimeout,
-            new entry::CallerHandlerFactory(m_services, true));
-    m_callerListener = std::make_unique<entry::HttpListener>(
-            m_settings.callerAddress, m_settings.callerThreads, m_settings.idleTimeout,
-            new entry::CallerHandlerFactory(m_services, false));
-    m_operatorListener->start();
-    m_forwardListener->start();
-    m_callerListener->start();
+    m_operators = std::make_unique<entry::OperatorServer>(m_settings.operatorAddress, *this);
+    entry::EntryServerSettings settings;
+    settings.callerAddress = m_settings.callerAddress;
+    settings.forwardAddress = m_settings.forwardAddress;
+    settings.idleTimeout = m_settings.idleTimeout;
+    settings.claimThreads = m_settings.claimThreads;
+    m_entry = std::make_unique<entry::EntryServer>(settings, m_services);
+    m_operators->start();
+    m_entry->start();
 }
 
 void DaemonApplication::advancePolicy()
 {
     const core::Instant now = m_clock.now();
-    m_board.post(m_policy.advance(now));
+    m_entry->deliver(m_policy.advance(now));
     // Later hold-offs, after changes among the peers, do not make a serving daemon unready.
     const std::shared_ptr<const policy::PeerView> peers = m_policy.peers();
     // A fenced daemon owns no slots, for which the policy waits for nothing.
@@ -263,8 +253,6 @@
     m_peers.start();
     m_replication.start();
     m_steering.start();
-    m_tasks.push_back(
-            std::make_unique<PeriodicTask>(backendInterval, [this] { m_backendPoller.poll(); }));
     m_tasks.push_back(std::make_unique<PeriodicTask>(advanceInterval, [this] { advancePolicy(); }));
     m_tasks.push_back(
             std::make_unique<PeriodicTask>(claimSweepInterval, [this] { m_storeClaims.sweep(); }));
--- a/modules/sardinehollow_daemon/application/DaemonApplication.h
+++ b/modules/sardinehollow_daemon/application/DaemonApplication.h
@@ -10,9 +10,8 @@
 #include "sardinehollow_daemon/scheduling/PeriodicTask.h"
 #include "sardinehollow_daemon/steering/ShiftService.h"
 #include "sardinehollow_daemon/steering/SteeringExchange.h"
-#include "sardinehollow_entry/forwarding/BackendPoller.h"
-#include "sardinehollow_entry/handlers/EntryServices.h"
-#include "sardinehollow_entry/server/HttpListener.h"
+#include "sardinehollow_entry/server/EntryServer.h"
+#include "sardinehollow_entry/server/OperatorServer.h"
 #include "sardinehollow_entry/status/StatusSource.h"
 #include "sardinehollow_peer/transport/ZmqTransport.h"
 #include "sardinehollow_platform/etcd/EtcdStore.h"
@@ -38,7 +37,7 @@
     std::string metricsText() const override;
 
 private:
-    void startListeners();
+    void startServers();
     void startTasks();
     /** Tells the claims of changes and sends their calls that are due. */
     void advancePolicy();
@@ -53,11 +52,6 @@
     platform::HttpVmList m_vmList;
     policy::SteeringPolicy m_policy;
     entry::Metrics m_metrics;
-    entry::DecisionBoard m_board;
-    entry::ThreadBudget m_callerThreads;
-    entry::ThreadBudget m_forwardThreads;
-    entry::Forwarder m_forwarder;
-    entry::BackendPoller m_backendPoller;
     StoreClaimGate m_storeClaims;
     StoreClaimJournal m_claimJournal;
     RoutingClaimGate m_claims;
@@ -71,9 +65,8 @@
     std::atomic<bool> m_leaving {false};
     /** Whether the hold-off after the start is over. */
     std::atomic<bool> m_hasAdmitted {false};
-    std::unique_ptr<entry::HttpListener> m_operatorListener;
-    std::unique_ptr<entry::HttpListener> m_forwardListener;
-    std::unique_ptr<entry::HttpListener> m_callerListener;
+    std::unique_ptr<entry::OperatorServer> m_operators;
+    std::unique_ptr<entry::EntryServer> m_entry;
     std::vector<std::unique_ptr<PeriodicTask>> m_tasks;
 };
 
--- a/modules/sardinehollow_daemon/claims/StoreClaimGate.h
+++ b/modules/sardinehollow_daemon/claims/StoreClaimGate.h
@@ -59,7 +59,8 @@
 
     entry::ClaimAnswer readRecord(const entry::ClaimRequest &request, const std::string &key,
                                   std::uint64_t number, bool heldByOther);
-    /** Answers from a record of another claim; nothing if its outcome may be about to be written. */
+    /** Answers from a record of another claim; nothing if its outcome may be about to be written.
+     */
     std::optional<entry::ClaimAnswer> answerFrom(const std::string &record,
                                                  const entry::ClaimRequest &request,
                                                  std::uint64_t number) const;
--- a/modules/sardinehollow_entry/exchange/Exchange.h
+++ b/modules/sardinehollow_entry/exchange/Exchange.h
@@ -1,45 +1,51 @@
 #pragma once
 
-#include "sardinehollow_config/model/WorkKind.h"
-#include "sardinehollow_entry/exchange/CallerBody.h"
-#include "sardinehollow_entry/exchange/CallerWriter.h"
+#include "sardinehollow_config/model/Configuration.h"
+#include "sardinehollow_core/http/HttpBodyFraming.h"
 #include "sardinehollow_entry/exchange/PartialDownload.h"
+#include "sardinehollow_network/server/ResponseSink.h"
 #include "sardinehollow_policy/facade/RequestOffer.h"
 
-#include <Poco/Net/HTTPServerRequest.h>
-#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/HTTPRequest.h>
 
+#include <cstdint>
+#include <memory>
 #include <string>
 
 namespace sardinehollow::entry {
 
-/** One request of a caller and the response to it, while a thread serves it. */
+/** One request of a caller as its attempts see it. */
 struct Exchange
 {
-    Exchange(Poco::Net::HTTPServerRequest &callerRequest,
-             Poco::Net::HTTPServerResponse &callerResponse, const config::WorkKind &workKind,
-             std::uint64_t configurationGeneration)
+    Exchange(const Poco::Net::HTTPRequest &callerRequest, core::HttpBodyFraming bodyFraming,
+             std::shared_ptr<const config::Configuration> inForce, const config::WorkKind &workKind,
+             network::ResponseSink &sink)
         : request(callerRequest)
-        , response(callerResponse)
+        , framing(bodyFraming)
+        , configuration(std::move(inForce))
         , kind(workKind)
-        , callerBody(callerRequest, callerResponse)
-        , generation(configurationGeneration)
-        , writer(callerRequest)
+        , caller(&sink)
     { }
 
-    Poco::Net::HTTPServerRequest &request;
-    Poco::Net::HTTPServerResponse &response;
+    Poco::Net::HTTPRequest request;
+    core::HttpBodyFraming framing;
+    /** In force when the request arrived; keeps the work kind alive. */
+    std::shared_ptr<const config::Configuration> configuration;
     const config::WorkKind &kind;
-    CallerBody callerBody;
+    /** Where the response goes; nullptr once the caller has its answer or has left. */
+    network::ResponseSink *caller;
     policy::RequestOffer offer;
-    /** The request's body, or the start of it that was read before admission; see bodyBuffered. */
+    /** The request's body, or its start if isBodyStreamed. */
     std::string body;
-    /** Whether body holds all of it, so that it can be sent again. */
-    bool bodyBuffered = false;
-    std::uint64_t generation = 0;
+    std::uint64_t bodyBytes = 0;
+    /** Whether the caller has sent all of its body. */
+    bool isBodyWhole = false;
+    /** The body is too large to be kept and is passed on as it arrives. */
+    bool isBodyStreamed = false;
+    /** Parts of the body that are not kept were sent, so that no other attempt can send them. */
+    bool isBodyGone = false;
     std::uint32_t attempts = 0;
     PartialDownload download;
-    CallerWriter writer;
 };
 
 } // namespace sardinehollow::entry
--- a/modules/sardinehollow_entry/exchange/Problem.cpp
+++ b/modules/sardinehollow_entry/exchange/Problem.cpp
@@ -8,7 +8,20 @@
 
 namespace sardinehollow::entry {
 
-void sendProblem(Poco::Net::HTTPServerResponse &response, const Problem &problem)
+Problem problemOf(network::RequestFault fault)
+{
+    using Poco::Net::HTTPResponse;
+    Problem problem;
+    problem.reason = policy::RefusalReason::MalformedRequest;
+    problem.status = HTTPResponse::HTTP_BAD_REQUEST;
+    if (fault == network::RequestFault::HeaderTimeout)
+        problem.status = HTTPResponse::HTTP_REQUEST_TIMEOUT;
+    if (fault == network::RequestFault::UnsupportedVersion)
+        problem.status = HTTPResponse::HTTP_VERSION_NOT_SUPPORTED;
+    return problem;
+}
+
+void sendProblem(network::ResponseSink &caller, const Problem &problem)
 {
     const std::string reason(policy::toName(problem.reason));
     const std::string outcome(toName(problem.outcome));
@@ -20,7 +33,7 @@
     std::ostringstream text;
     body.stringify(text);
 
-    response.setStatusAndReason(problem.status);
+    Poco::Net::HTTPResponse response(problem.status);
     response.setContentType("application/problem+json");
     response.set(outcomeHeader, outcome);
     response.set(reasonHeader, reason);
@@ -29,8 +42,7 @@
         const auto seconds = std::chrono::ceil<std::chrono::seconds>(problem.retryAfter);
         response.set(retryAfterHeader, std::to_string(seconds.count()));
     }
-    const std::string buffer = text.str();
-    response.sendBuffer(buffer.data(), buffer.size());
+    caller.sendResponse(response, text.str());
 }
 
 } // namespace sardinehollow::entry
--- a/modules/sardinehollow_entry/exchange/Problem.h
+++ b/modules/sardinehollow_entry/exchange/Problem.h
@@ -2,9 +2,11 @@
 
 #include "sardinehollow_core/time/Instant.h"
 #include "sardinehollow_entry/exchange/Outcome.h"
+#include "sardinehollow_network/server/RequestFault.h"
+#include "sardinehollow_network/server/ResponseSink.h"
 #include "sardinehollow_policy/reasons/RefusalReason.h"
 
-#include <Poco/Net/HTTPServerResponse.h>
+#include <cstdint>
 
 namespace sardinehollow::entry {
 
@@ -18,7 +20,10 @@
     std::uint64_t generation = 0;
 };
 
+/** The answer to a request that cannot be read and has not run. */
+Problem problemOf(network::RequestFault fault);
+
 /** Sends the problem as application/problem+json. */
-void sendProblem(Poco::Net::HTTPServerResponse &response, const Problem &problem);
+void sendProblem(network::ResponseSink &caller, const Problem &problem);
 
 } // namespace sardinehollow::entry
--- a/modules/sardinehollow_entry/forwarding/BackendPoller.cpp
+++ b/modules/sardinehollow_entry/forwarding/BackendPoller.cpp
@@ -1,62 +1,22 @@
 #include "sardinehollow_entry/forwarding/BackendPoller.h"
 
 #include "sardinehollow_core/hash/RendezvousHash.h"
-#include "sardinehollow_core/http/HttpBodyReader.h"
 
-#include <Poco/Exception.h>
-#include <Poco/JSON/Object.h>
-#include <Poco/JSON/Parser.h>
-
-#include <array>
+#include <vector>
 
 namespace sardinehollow::entry {
 
-namespace {
-
-using Poco::Net::HTTPRequest;
-using Poco::Net::HTTPResponse;
-
-// An answer takes about a millisecond; servers are asked one after the other.
-constexpr core::Duration answerTimeout = std::chrono::milliseconds(300);
-constexpr std::size_t answerLimit = 4096;
-
-std::string readAnswer(core::HttpConnection &connection, const HTTPResponse &response)
-{
-    core::HttpBodyReader reader(connection, core::framingOf(response, HTTPRequest::HTTP_GET));
-    std::string text;
-    std::array<char, answerLimit> buffer {};
-    while (!reader.isAtEnd()) {
-        text.append(buffer.data(), reader.read(buffer.data(), buffer.size()));
-        if (text.size() > answerLimit)
-            throw Poco::DataFormatException("the load report is too long");
-    }
-    return text;
-}
-
-policy::BackendReport parseReport(const std::string &text)
-{
-    Poco::JSON::Parser parser;
-    const auto object = parser.parse(text).extract<Poco::JSON::Object::Ptr>();
-    policy::BackendReport report;
-    report.inFlight = object->getValue<std::uint32_t>("inFlight");
-    report.slots = object->getValue<std::uint32_t>("slots");
-    report.leaving = object->getValue<bool>("leaving");
-    return report;
-}
-
-} // namespace
-
-BackendPoller::BackendPoller(const core::MonotonicClock &clock, policy::SteeringPolicy &policy,
-                             ConnectionPool &pool)
-    : m_clock(clock)
-    , m_policy(policy)
+BackendPoller::BackendPoller(network::EventLoop &loop, EntryServices &services, ForwardPool &pool)
+    : m_loop(loop)
+    , m_services(services)
     , m_pool(pool)
 { }
 
 void BackendPoller::poll()
 {
-    const std::shared_ptr<const config::Configuration> configuration = m_policy.configuration();
-    const std::shared_ptr<const policy::PeerView> peers = m_policy.peers();
+    const std::shared_ptr<const config::Configuration> configuration
+            = m_services.policy.configuration();
+    const std::shared_ptr<const policy::PeerView> peers = m_services.policy.peers();
     if (!configuration || !peers)
         return;
     for (const config::BackendPool &pool : configuration->pools) {
@@ -71,25 +31,28 @@
 
 void BackendPoller::poll(const config::BackendServer &server)
 {
-    try {
-        PooledConnection connection = m_pool.take(server.address, false, answerTimeout);
-        connection->setTimeouts(answerTimeout);
-        HTTPRequest request(HTTPRequest::HTTP_GET, "/load", HTTPRequest::HTTP_1_1);
-        request.setHost(server.address);
-        connection->sendHead(request);
-        HTTPResponse response;
-        connection->receiveHead(response);
-        policy::BackendReport report = parseReport(readAnswer(*connection.connection, response));
-        report.backendServer = server.name;
-        report.now = m_clock.now();
-        m_policy.onBackendReport(report);
-        if (response.getKeepAlive())
-            m_pool.giveBack(std::move(connection));
-    } catch (const Poco::TimeoutException &) {
-        m_pool.drop(server.address);
-    } catch (const Poco::Exception &) {
-        // Requests to the server tell that it cannot be reached; a report would say no more.
-    }
+    std::unique_ptr<LoadQuery> &query = m_queries[server.name];
+    if (query)
+        return;
+    query = std::make_unique<LoadQuery>(
+            m_loop, m_pool, server.address,
+            [this, name = server.name](const std::optional<policy::BackendReport> &report) {
+                onEnd(name, report);
+            });
+    query->start();
+}
+
+void BackendPoller::onEnd(const std::string &server,
+                          const std::optional<policy::BackendReport> &report)
+{
+    // The query is on the call stack.
+    m_loop.defer([this, server] { m_queries.erase(server); });
+    if (!report)
+        return;
+    policy::BackendReport named = *report;
+    named.backendServer = server;
+    named.now = m_services.clock.now();
+    m_services.policy.onBackendReport(named);
 }
 
 bool BackendPoller::owns(const config::BackendServer &server, const policy::PeerView &peers) const
--- a/modules/sardinehollow_entry/forwarding/BackendPoller.h
+++ b/modules/sardinehollow_entry/forwarding/BackendPoller.h
@@ -1,31 +1,34 @@
 #pragma once
 
-#include "sardinehollow_core/time/MonotonicClock.h"
-#include "sardinehollow_entry/forwarding/ConnectionPool.h"
-#include "sardinehollow_policy/facade/SteeringPolicy.h"
+#include "sardinehollow_entry/forwarding/LoadQuery.h"
+#include "sardinehollow_entry/handlers/EntryServices.h"
+
+#include <map>
+#include <memory>
+#include <string>
 
 namespace sardinehollow::entry {
 
-/**
- * Asks the backend servers whose slots this daemon owns for their load and leaving state. A server
- * that does not answer on a kept connection loses its connection pool.
- */
+/** Asks the backend servers that this daemon owns for their load. For the loop's thread. */
 class BackendPoller
 {
 public:
-    BackendPoller(const core::MonotonicClock &clock, policy::SteeringPolicy &policy,
-                  ConnectionPool &pool);
+    BackendPoller(network::EventLoop &loop, EntryServices &services, ForwardPool &pool);
 
-    /** Asks each server once; call it about once a second. */
+    /** Asks each server once that has answered the last question. */
     void poll();
 
 private:
     void poll(const config::BackendServer &server);
+    void onEnd(const std::string &server, const std::optional<policy::BackendReport> &report);
+    /** Whether this daemon owns the slots of the server. */
     bool owns(const config::BackendServer &server, const policy::PeerView &peers) const;
 
-    const core::MonotonicClock &m_clock;
-    policy::SteeringPolicy &m_policy;
-    ConnectionPool &m_pool;
+    network::EventLoop &m_loop;
+    EntryServices &m_services;
+    ForwardPool &m_pool;
+    /** Questions without an answer yet, by the name of the server. */
+    std::map<std::string, std::unique_ptr<LoadQuery>> m_queries;
 };
 
 } // namespace sardinehollow::entry
--- a/modules/sardinehollow_entry/forwarding/ForwardAttempt.cpp
+++ b/modules/sardinehollow_entry/forwarding/ForwardAttempt.cpp
@@ -1,22 +1,15 @@
 #include "sardinehollow_entry/forwarding/ForwardAttempt.h"
 
-#include "sardinehollow_entry/exchange/CallerSocket.h"
 #include "sardinehollow_entry/exchange/HeaderNames.h"
 #include "sardinehollow_entry/exchange/Outcome.h"
 #include "sardinehollow_entry/exchange/ReasonHeader.h"
-#include "sardinehollow_entry/forwarding/AttemptFailure.h"
 #include "sardinehollow_entry/forwarding/BackendHeaders.h"
-#include "sardinehollow_entry/forwarding/HopByHopHeaders.h"
-#include "sardinehollow_entry/server/StallTimeout.h"
+#include "sardinehollow_network/http/MessageWriter.h"
 
-#include <Poco/Net/HTTPServerRequestImpl.h>
-#include <Poco/Net/NetException.h>
+#include <Poco/Exception.h>
 #include <Poco/NumberParser.h>
 
-#include <array>
-#include <sstream>
-
-#include <poll.h>
+#include <algorithm>
 
 namespace sardinehollow::entry {
 
@@ -29,16 +22,17 @@
 using policy::RefusalReason;
 
 constexpr core::Duration connectTimeout = std::chrono::milliseconds(500);
+constexpr core::Duration shortestAttempt = std::chrono::milliseconds(1);
+// Longest pause within a message, in either direction and on both sides of the daemon.
+constexpr core::Duration stallTimeout = std::chrono::seconds(10);
+// Backend servers close idle connections after tens of seconds; younger ones are rarely stale.
+constexpr core::Duration idleLimit = std::chrono::seconds(5);
 constexpr std::size_t recordedBodyLimit = 4096;
-constexpr std::size_t copyBytes = 64 * 1024;
+// Bytes that may wait for a slow peer before the other side is no longer read.
+constexpr std::size_t mostWaitingBytes = 256 * 1024;
 // A reused connection that stays silent leaves this share of the time for a retry on a new one.
 constexpr int reusedWaitDivisor = 2;
 
-int callerDescriptor(Poco::Net::HTTPServerRequest &request)
-{
-    return static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket().impl()->sockfd();
-}
-
 bool isStrong(const std::string &entityTag)
 {
     return entityTag.size() > 2 && entityTag.front() == '"';
@@ -46,84 +40,79 @@
 
 } // namespace
 
-ForwardAttempt::ForwardAttempt(const ForwardContext &context, Exchange &exchange,
-                               const policy::Decision &decision)
+ForwardAttempt::ForwardAttempt(EntryContext &context, Exchange &exchange, policy::Decision decision,
+                               EndHandler onEnd)
     : m_context(context)
     , m_exchange(exchange)
-    , m_decision(decision)
+    , m_decision(std::move(decision))
+    , m_onEnd(std::move(onEnd))
+    , m_startedAt(context.services.clock.now())
 { }
 
-AttemptResult ForwardAttempt::run()
+ForwardAttempt::~ForwardAttempt()
 {
-    const core::Instant start = m_context.clock.now();
-    try {
-        if (remaining() < std::chrono::milliseconds(1))
-            throw AttemptFailure {AttemptOutcome::ConnectFailed, RefusalReason::DeadlinePassed};
-        connect();
-        HTTPRequest request(m_exchange.request.getMethod(), m_exchange.request.getURI(),
-                            HTTPRequest::HTTP_1_1);
-        prepareRequest(request);
-        sendRequest(request);
-        awaitResponse();
-        receiveResponse();
-        checkStatement();
-        startAnswer();
-        relayBody();
-        m_result.outcome = AttemptOutcome::Completed;
-    } catch (const AttemptFailure &failure) {
-        fail(failure.outcome, failure.reason);
-    } catch (const Poco::TimeoutException &) {
-        // One silent connection suggests that the others of its age are silent too.
-        m_context.pool.drop(m_decision.address);
-        fail(AttemptOutcome::TimedOut, RefusalReason::BackendTimeout);
-    } catch (const Poco::Exception &) {
-        fail(AttemptOutcome::ConnectionLost, RefusalReason::BackendUnreachable);
-    }
-    m_result.latency = m_context.clock.now() - start;
-    return m_result;
+    m_context.loop.cancel(m_timer);
+    if (m_connection)
+        m_connection->abandon();
 }
 
-void ForwardAttempt::fail(AttemptOutcome outcome, RefusalReason reason)
+void ForwardAttempt::start()
 {
-    m_result.outcome = outcome;
-    m_result.reason = reason;
-    const bool lost
-            = outcome == AttemptOutcome::TimedOut || outcome == AttemptOutcome::ConnectionLost;
-    if (lost && (!m_connection || m_connection->bytesSent() == 0))
-        m_result.outcome = AttemptOutcome::ConnectFailed;
-    if (lost && m_result.responseStarted) {
-        m_result.outcome = AttemptOutcome::Truncated;
-        m_result.reason = RefusalReason::AnswerTruncated;
+    if (remaining() < shortestAttempt) {
+        end(AttemptOutcome::ConnectFailed, RefusalReason::DeadlinePassed);
+        return;
     }
-    if (m_result.responseStarted && !m_exchange.download.active
-        && m_result.outcome != AttemptOutcome::Completed)
-        resetCaller(m_exchange.request);
+    try {
+        connect();
+    } catch (const Poco::Exception &) {
+        end(AttemptOutcome::ConnectFailed, RefusalReason::BackendUnreachable);
+        return;
+    }
+    sendRequest();
 }
 
 void ForwardAttempt::connect()
 {
     // A stale connection can lose a request after the server took it, so what must run at most
     // once, and what failed before, never goes out on a used one.
-    const bool fresh = !m_exchange.kind.idempotent || m_exchange.attempts > 0;
+    const bool isFresh = !m_exchange.kind.idempotent || m_exchange.attempts > 0;
     ++m_exchange.attempts;
-    try {
-        m_connection = m_context.pool.take(m_decision.address, fresh,
-                                           std::min(remaining(), connectTimeout));
-    } catch (const Poco::Exception &) {
-        throw AttemptFailure {AttemptOutcome::ConnectFailed, RefusalReason::BackendUnreachable};
+    m_connection = &takeConnection(m_context.pool, m_context.loop, m_decision.address,
+                                   isFresh ? core::Duration(0) : idleLimit,
+                                   std::min(remaining(), connectTimeout));
+    m_isReused = m_connection->isConnected();
+}
+
+void ForwardAttempt::sendRequest()
+{
+    HTTPRequest request = m_exchange.request;
+    prepareRequest(request);
+    std::string text = network::toText(request);
+    if (!m_exchange.isBodyStreamed)
+        text += m_exchange.body;
+    m_connection->start(text, request.getMethod(), *this);
+    // The connection may have failed at once.
+    if (!m_connection)
+        return;
+    if (!m_exchange.isBodyStreamed) {
+        finishRequest();
+        return;
     }
+    armTimer(std::min(remaining(), stallTimeout));
+    onRequestBody(m_exchange.body);
+    if (m_connection && m_exchange.isBodyWhole)
+        onRequestEnd();
 }
 
 void ForwardAttempt::prepareRequest(HTTPRequest &request) const
 {
-    copyEndToEndHeaders(m_exchange.request, request);
-    request.erase("Expect");
+    network::removeConnectionFields(request);
     request.erase(originHeader);
     request.erase(callerHashHeader);
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(remaining());
     request.set(deadlineHeader, std::to_string(milliseconds.count()));
     if (isForward()) {
-        request.set(originHeader, m_context.localFailureDomain);
+        request.set(originHeader, m_context.services.failureDomain);
         request.set(callerHashHeader, std::to_string(m_exchange.offer.callerHash));
     }
     if (!request.has(HTTPRequest::HOST))
@@ -133,91 +122,94 @@
         request.set("Range", "bytes=" + std::to_string(download.sent) + "-");
         request.set("If-Range", download.entityTag);
     }
-    const bool hasBody = m_exchange.callerBody.framing().kind != Kind::None;
-    if (m_exchange.bodyBuffered && hasBody)
-        request.setContentLength64(static_cast<Poco::Int64>(m_exchange.body.size()));
-    else if (hasBody && !request.hasContentLength())
-        request.setChunkedTransferEncoding(true);
-    else if (!hasBody && request.getMethod() != HTTPRequest::HTTP_GET
+    const bool hasBody = m_exchange.framing.kind != Kind::None;
+    if (m_exchange.isBodyStreamed && m_exchange.framing.kind == Kind::Chunked)
+        request.set("Transfer-Encoding", "chunked");
+    else if (m_exchange.isBodyStreamed)
+        request.set("Content-Length", std::to_string(m_exchange.framing.length));
+    else if (hasBody)
+        request.set("Content-Length", std::to_string(m_exchange.body.size()));
+    else if (request.getMethod() != HTTPRequest::HTTP_GET
              && request.getMethod() != HTTPRequest::HTTP_HEAD)
-        request.setContentLength(0);
+        request.set("Content-Length", "0");
 }
 
-void ForwardAttempt::sendRequest(const HTTPRequest &request)
+void ForwardAttempt::onRequestBody(std::string_view bytes)
 {
-    m_connection->setTimeouts(stallTimeout);
-    std::ostringstream head;
-    request.write(head);
-    if (m_exchange.bodyBuffered) {
-        head << m_exchange.body;
-        m_connection->send(head.str());
+    if (!m_connection || m_isRequestSent || bytes.empty())
         return;
-    }
-    m_connection->send(head.str());
-    streamBody(request.getChunkedTransferEncoding());
+    const bool isChunked = m_exchange.framing.kind == Kind::Chunked;
+    m_connection->send(isChunked ? network::toChunk(bytes) : std::string(bytes));
+    if (!m_connection)
+        return;
+    armTimer(std::min(remaining(), stallTimeout));
+    if (m_connection->unsentBytes() > mostWaitingBytes && m_exchange.caller)
+        m_exchange.caller->setRequestReading(false);
 }
 
-void ForwardAttempt::streamBody(bool chunked)
+void ForwardAttempt::onRequestEnd()
 {
-    CallerBody &body = m_exchange.callerBody;
-    const auto forward = [this, chunked](std::string_view bytes) {
-        if (chunked)
-            m_connection->sendChunk(bytes);
-        else
-            m_connection->send(bytes);
-    };
-    if (!m_exchange.body.empty())
-        forward(m_exchange.body);
-    std::array<char, copyBytes> buffer {};
-    while (!body.isAtEnd()) {
-        const std::size_t count
-                = body.read(buffer.data(), buffer.size(), std::min(remaining(), stallTimeout));
-        if (body.bytesRead() > m_exchange.kind.maxRequestBytes)
-            throw AttemptFailure {AttemptOutcome::CallerLeft, RefusalReason::BodyTooLarge};
-        if (count > 0)
-            forward({buffer.data(), count});
-        if (m_connection->isReadable()) {
-            m_requestWhole = body.isAtEnd() && body.isWhole();
-            break;
-        }
-    }
-    if (body.isAtEnd() && !body.isWhole())
-        throw AttemptFailure {AttemptOutcome::CallerLeft, RefusalReason::MalformedRequest};
-    if (chunked && body.isAtEnd())
-        m_connection->sendChunk({});
+    if (!m_connection || m_isRequestSent)
+        return;
+    if (m_exchange.framing.kind == Kind::Chunked)
+        m_connection->send(network::toChunk({}));
+    if (m_connection)
+        finishRequest();
+}
+
+void ForwardAttempt::finishRequest()
+{
+    m_isRequestSent = true;
+    m_connection->finishRequest();
+    if (!m_result.responseStarted)
+        armTimer(m_isReused ? remaining() / reusedWaitDivisor : remaining());
+}
+
+void ForwardAttempt::onRequestDrained()
+{
+    if (m_exchange.caller && !m_exchange.isBodyWhole)
+        m_exchange.caller->setRequestReading(true);
+}
+
+void ForwardAttempt::onRequestCut(RefusalReason reason)
+{
+    end(AttemptOutcome::CallerLeft, reason);
 }
 
-void ForwardAttempt::awaitResponse()
+void ForwardAttempt::onCallerDrained()
 {
-    const core::Duration limit
-            = m_connection.reused ? remaining() / reusedWaitDivisor : remaining();
-    const core::Instant end = m_context.clock.now() + limit;
-    std::array<pollfd, 2> waits {{{m_connection->socket().impl()->sockfd(), POLLIN, 0},
-                                  {callerDescriptor(m_exchange.request), POLLIN, 0}}};
+    if (!m_connection)
+        return;
+    m_connection->setReading(true);
+    armTimer(stallTimeout);
+}
+
+void ForwardAttempt::onCallerLeft()
+{
+    m_exchange.download.active = false;
+    const bool isRequestWhole = !m_exchange.isBodyStreamed || m_exchange.isBodyWhole;
+    if (!isRequestWhole) {
+        end(AttemptOutcome::CallerLeft, RefusalReason::MalformedRequest);
+        return;
+    }
+    if (m_exchange.kind.idempotent) {
+        end(AttemptOutcome::CallerLeft, RefusalReason::None);
+        return;
+    }
     // A run that must not be repeated goes on without its caller, so that its outcome is recorded
     // and a repeat of the key gets it.
-    nfds_t watched = m_exchange.kind.idempotent ? waits.size() : 1;
-    while (true) {
-        const auto left = std::chrono::ceil<std::chrono::milliseconds>(end - m_context.clock.now());
-        if (left.count() <= 0)
-            throw Poco::TimeoutException("no response");
-        const int ready = ::poll(waits.data(), watched, static_cast<int>(left.count()));
-        if (ready <= 0)
-            continue;
-        if (waits[0].revents != 0)
-            return;
-        if (hasCallerLeft(m_exchange.request))
-            throw AttemptFailure {AttemptOutcome::CallerLeft, RefusalReason::None};
-        // The caller has sent its next request; that it leaves can no longer be seen.
-        watched = 1;
-    }
+    if (m_connection)
+        m_connection->setReading(true);
 }
 
-void ForwardAttempt::receiveResponse()
+void ForwardAttempt::onResponseHead(const HTTPResponse &response, bool /*hasKnownLength*/)
 {
-    m_connection->receiveHead(m_response);
-    m_result.status = m_response.getStatus();
+    m_response = response;
+    m_result.status = response.getStatus();
     report();
+    if (endsByStatement())
+        return;
+    startAnswer();
 }
 
 void ForwardAttempt::report()
@@ -226,18 +218,19 @@
         return;
     policy::BackendReport backendReport;
     backendReport.backendServer = m_decision.backendServer;
-    backendReport.now = m_context.clock.now();
+    backendReport.now = m_context.services.clock.now();
     if (readBackendHeaders(m_response, backendReport))
-        m_context.policy.onBackendReport(backendReport);
+        m_context.services.policy.onBackendReport(backendReport);
 }
 
-void ForwardAttempt::checkStatement()
+bool ForwardAttempt::endsByStatement()
 {
-    const bool unavailable = m_response.getStatus() == HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
+    const bool isUnavailable = m_response.getStatus() == HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
     if (!isForward()) {
-        if (unavailable && m_response.has(notRunHeader))
-            throw AttemptFailure {AttemptOutcome::NotRun, RefusalReason::BackendShed};
-        return;
+        if (!isUnavailable || !m_response.has(notRunHeader))
+            return false;
+        end(AttemptOutcome::NotRun, RefusalReason::BackendShed);
+        return true;
     }
     // Only a peer states an outcome; a backend server's own field of that name has no meaning.
     const std::string outcome = m_response.get(outcomeHeader, "");
@@ -247,39 +240,46 @@
         Poco::Int64 seconds = 0;
         if (Poco::NumberParser::tryParse64(m_response.get(retryAfterHeader, ""), seconds))
             m_result.retryAfter = std::chrono::seconds(seconds);
-        throw AttemptFailure {AttemptOutcome::NotRun, reason};
+        end(AttemptOutcome::NotRun, reason);
+        return true;
+    }
+    if (outcome == toName(Outcome::Unknown)) {
+        end(AttemptOutcome::ConnectionLost, reason);
+        return true;
     }
-    if (outcome == toName(Outcome::Unknown))
-        throw AttemptFailure {AttemptOutcome::ConnectionLost, reason};
+    return false;
 }
 
 void ForwardAttempt::startAnswer()
 {
+    armTimer(stallTimeout);
     if (m_exchange.download.active) {
         m_result.responseStarted = true;
-        checkContinuation();
+        if (!continuesDownload())
+            end(AttemptOutcome::Truncated, RefusalReason::AnswerTruncated);
         return;
     }
     const core::HttpBodyFraming framing
             = core::framingOf(m_response, m_exchange.request.getMethod());
-    if (framing.kind == Kind::UntilClose || framing.kind == Kind::Malformed)
-        throw Poco::Net::MessageException("the end of the body cannot be told");
-    HTTPResponse &answer = m_exchange.response;
-    const bool keepAlive = answer.getKeepAlive() && m_requestWhole;
-    answer.setStatusAndReason(m_response.getStatus(), m_response.getReason());
-    copyEndToEndHeaders(m_response, answer);
+    if (framing.kind == Kind::UntilClose || framing.kind == Kind::Malformed) {
+        // The end of such a body cannot be told from a broken connection.
+        lose(AttemptOutcome::ConnectionLost, RefusalReason::BackendUnreachable);
+        return;
+    }
+    HTTPResponse answer = m_response;
+    const std::string length = answer.get("Content-Length", "");
+    network::removeConnectionFields(answer);
+    const bool statesLength = !length.empty() && framing.kind != Kind::Chunked
+            && answer.getStatus() != HTTPResponse::HTTP_NO_CONTENT;
+    if (statesLength)
+        answer.set("Content-Length", length);
     for (const char *name : {loadHeader, leavingHeader, notRunHeader, reasonHeader})
         answer.erase(name);
     answer.set(outcomeHeader, std::string(toName(Outcome::Complete)));
-    answer.set(generationHeader, std::to_string(m_exchange.generation));
-    const bool chunks = framing.kind == Kind::Chunked
-            && m_exchange.request.getVersion() == HTTPRequest::HTTP_1_1;
-    if (chunks)
-        answer.setChunkedTransferEncoding(true);
-    // Without chunks the caller learns the end of such a body from the end of the connection.
-    answer.setKeepAlive(keepAlive && (chunks || framing.kind != Kind::Chunked));
+    answer.set(generationHeader, std::to_string(m_exchange.configuration->generation));
     noteStarted();
-    m_exchange.writer.begin(answer);
+    if (m_exchange.caller)
+        m_exchange.caller->startResponse(answer);
 }
 
 void ForwardAttempt::noteStarted()
@@ -296,78 +296,135 @@
             && isStrong(download.entityTag);
 }
 
-void ForwardAttempt::checkContinuation() const
+bool ForwardAttempt::continuesDownload() const
 {
     const PartialDownload &download = m_exchange.download;
     const std::string expected = "bytes " + std::to_string(download.sent) + "-"
             + std::to_string(download.total - 1) + "/" + std::to_string(download.total);
-    const bool continues = m_response.getStatus() == HTTPResponse::HTTP_PARTIAL_CONTENT
+    return m_response.getStatus() == HTTPResponse::HTTP_PARTIAL_CONTENT
             && m_response.get("ETag", "") == download.entityTag
             && m_response.get("Content-Range", "") == expected;
-    if (!continues)
-        throw AttemptFailure {AttemptOutcome::Truncated, RefusalReason::AnswerTruncated};
 }
 
-void ForwardAttempt::relayBody()
+void ForwardAttempt::onResponseBody(std::string &&bytes)
 {
-    core::HttpBodyReader reader(*m_connection.connection,
-                                core::framingOf(m_response, m_exchange.request.getMethod()));
-    if (reader.isWhole())
-        keepConnection();
-    std::array<char, copyBytes> buffer {};
-    while (!reader.isAtEnd()) {
-        const std::size_t count = reader.read(buffer.data(), buffer.size());
-        m_result.responseBytes += count;
-        record(buffer.data(), count);
-        // Kept before the caller has the last bytes, so that its next request finds it.
-        if (reader.isWhole())
-            keepConnection();
-        write(buffer.data(), count);
-    }
-    if (!reader.isWhole())
-        throw Poco::Net::MessageException("the body was cut short");
+    armTimer(stallTimeout);
+    m_result.responseBytes += bytes.size();
+    record(bytes);
+    if (!m_exchange.caller)
+        return;
+    m_exchange.download.sent += bytes.size();
+    m_exchange.caller->sendPart(bytes);
+    const bool isCallerSlow
+            = m_exchange.caller && m_exchange.caller->unsentResponseBytes() > mostWaitingBytes;
+    if (m_connection && isCallerSlow)
+        m_connection->setReading(false);
+}
+
+void ForwardAttempt::record(std::string_view bytes)
+{
+    if (m_exchange.kind.idempotent)
+        return;
+    const std::size_t room = recordedBodyLimit - m_result.recordedBody.size();
+    m_result.recordedBody.append(bytes.substr(0, room));
+}
+
+void ForwardAttempt::onResponseEnd()
+{
+    m_connection = nullptr;
     m_result.responseWhole = true;
-    if (!m_callerGone && !m_exchange.writer.finish())
-        loseCaller();
-    if (m_callerGone)
-        throw AttemptFailure {AttemptOutcome::CallerLeft, RefusalReason::None};
+    if (!m_exchange.caller) {
+        end(AttemptOutcome::CallerLeft, RefusalReason::None);
+        return;
+    }
+    network::ResponseSink &caller = *m_exchange.caller;
+    m_exchange.caller = nullptr;
+    caller.finishResponse();
+    end(AttemptOutcome::Completed, RefusalReason::None);
+}
+
+void ForwardAttempt::onAttemptFailed(network::AttemptFailure failure,
+                                     const std::string & /*detail*/)
+{
+    m_connection = nullptr;
+    if (failure == network::AttemptFailure::NotConnected)
+        end(AttemptOutcome::ConnectFailed, RefusalReason::BackendUnreachable);
+    else
+        lose(AttemptOutcome::ConnectionLost, RefusalReason::BackendUnreachable);
 }
 
-void ForwardAttempt::keepConnection()
+void ForwardAttempt::armTimer(core::Duration limit)
 {
-    if (m_requestWhole && m_response.getKeepAlive())
-        m_context.pool.giveBack(std::move(m_connection));
+    m_context.loop.cancel(m_timer);
+    m_unsentAtTimer = unsentBytes();
+    m_timer = m_context.loop.schedule(std::max(limit, core::Duration(0)), [this] { onTimer(); });
 }
 
-void ForwardAttempt::write(const char *bytes, std::size_t count)
+std::size_t ForwardAttempt::unsentBytes() const
 {
-    if (m_callerGone)
+    if (m_result.responseStarted)
+        return m_exchange.caller ? m_exchange.caller->unsentResponseBytes() : 0;
+    return m_connection && !m_isRequestSent ? m_connection->unsentBytes() : 0;
+}
+
+void ForwardAttempt::onTimer()
+{
+    // A slow peer still takes what is sent to it.
+    if (unsentBytes() > 0 && unsentBytes() < m_unsentAtTimer) {
+        armTimer(stallTimeout);
+        return;
+    }
+    const bool isCallerStalled = m_exchange.caller && m_result.responseStarted
+            && m_exchange.caller->unsentResponseBytes() > 0;
+    if (isCallerStalled) {
+        m_exchange.download.active = false;
+        end(AttemptOutcome::CallerLeft, RefusalReason::None);
         return;
-    const bool taken = m_exchange.writer.write({bytes, count});
-    m_exchange.download.sent += count;
-    if (!taken)
-        loseCaller();
+    }
+    const bool waitsForBody = m_exchange.isBodyStreamed && !m_exchange.isBodyWhole
+            && !m_result.responseStarted && m_connection && m_connection->unsentBytes() == 0;
+    if (waitsForBody) {
+        end(AttemptOutcome::CallerLeft, RefusalReason::MalformedRequest);
+        return;
+    }
+    // One silent connection suggests that the others of its age are silent too.
+    m_context.pool.drop(m_decision.address);
+    lose(AttemptOutcome::TimedOut, RefusalReason::BackendTimeout);
 }
 
-void ForwardAttempt::loseCaller()
+void ForwardAttempt::lose(AttemptOutcome outcome, RefusalReason reason)
 {
-    m_callerGone = true;
-    m_exchange.download.active = false;
-    if (m_exchange.kind.idempotent)
-        throw AttemptFailure {AttemptOutcome::CallerLeft, RefusalReason::None};
+    if (m_result.responseStarted)
+        end(AttemptOutcome::Truncated, RefusalReason::AnswerTruncated);
+    else
+        end(outcome, reason);
 }
 
-void ForwardAttempt::record(const char *bytes, std::size_t count)
+void ForwardAttempt::end(AttemptOutcome outcome, RefusalReason reason)
 {
-    if (m_exchange.kind.idempotent)
+    if (m_isEnded)
         return;
-    const std::size_t room = recordedBodyLimit - m_result.recordedBody.size();
-    m_result.recordedBody.append(bytes, std::min(room, count));
+    m_isEnded = true;
+    m_context.loop.cancel(m_timer);
+    if (m_connection)
+        m_connection->abandon();
+    m_connection = nullptr;
+    m_result.outcome = outcome;
+    m_result.reason = reason;
+    m_result.latency = m_context.services.clock.now() - m_startedAt;
+    const bool isCut = m_result.responseStarted && !m_exchange.download.active
+            && outcome != AttemptOutcome::Completed;
+    if (isCut && m_exchange.caller) {
+        network::ResponseSink &caller = *m_exchange.caller;
+        m_exchange.caller = nullptr;
+        caller.abortResponse();
+    }
+    m_onEnd(m_result);
 }
 
 core::Duration ForwardAttempt::remaining() const
 {
-    return m_exchange.offer.deadline - m_context.clock.now();
+    return m_exchange.offer.deadline - m_context.services.clock.now();
 }
 
 } // namespace sardinehollow::entry
--- /dev/null
+++ b/modules/sardinehollow_entry/forwarding/ForwardPool.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "sardinehollow_network/client/ClientPool.h"
+
+#include <string>
+
+namespace sardinehollow::entry {
+
+/** Connections to backend servers and to the forward listeners of peers, by "IP:port". */
+using ForwardPool = network::ClientPool<std::string, network::ClientConnection>;
+
+/** Takes a connection; see ClientPool::take(). An idle limit of 0 asks for a new one. */
+network::ClientConnection &takeConnection(ForwardPool &pool, network::EventLoop &loop,
+                                          const std::string &address, core::Duration idleLimit,
+                                          core::Duration connectTimeout);
+
+} // namespace sardinehollow::entry
--- a/modules/sardinehollow_entry/handlers/EntryServices.h
+++ b/modules/sardinehollow_entry/handlers/EntryServices.h
@@ -1,30 +1,26 @@
 #pragma once
 
 #include "sardinehollow_core/time/MonotonicClock.h"
-#include "sardinehollow_entry/admission/ThreadBudget.h"
 #include "sardinehollow_entry/claims/ClaimGate.h"
-#include "sardinehollow_entry/decisions/DecisionBoard.h"
-#include "sardinehollow_entry/forwarding/Forwarder.h"
 #include "sardinehollow_entry/metrics/Metrics.h"
 #include "sardinehollow_entry/shifts/ShiftGate.h"
 #include "sardinehollow_policy/facade/SteeringPolicy.h"
 
 #include <atomic>
 #include <cstdint>
+#include <string>
 
 namespace sardinehollow::entry {
 
-/** What request handlers share; everything outlives the listeners. */
+/** What the entry server shares with the rest of the daemon; everything outlives the server. */
 struct EntryServices
 {
     const core::MonotonicClock &clock;
     policy::SteeringPolicy &policy;
-    DecisionBoard &board;
-    Forwarder &forwarder;
     ClaimGate &claims;
     Metrics &metrics;
-    ThreadBudget &callerThreads;
-    ThreadBudget &forwardThreads;
+    /** Failure domain of this daemon. */
+    std::string failureDomain;
     std::uint64_t incarnation = 0;
     std::atomic<std::uint64_t> sequence {0};
     std::atomic<std::uint64_t> inFlight {0};
--- a/modules/sardinehollow_entry/handlers/LookupHandler.cpp
+++ b/modules/sardinehollow_entry/handlers/LookupHandler.cpp
@@ -4,8 +4,6 @@
 
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
-#include <Poco/Net/HTTPServerRequest.h>
-#include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/URI.h>
 
 #include <sstream>
@@ -40,18 +38,20 @@
 
 } // namespace
 
-LookupHandler::LookupHandler(EntryServices &services)
+LookupHandler::LookupHandler(EntryServices &services, network::ResponseSink &caller,
+                             const Poco::Net::HTTPRequest &request)
     : m_services(services)
+    , m_caller(caller)
+    , m_request(request)
 { }
 
-void LookupHandler::handleRequest(Poco::Net::HTTPServerRequest &request,
-                                  Poco::Net::HTTPServerResponse &response)
+void LookupHandler::start()
 {
     m_services.metrics.countLookup();
     std::string kind;
-    std::string caller = request.clientAddress().host().toString();
+    std::string caller = m_caller.peerHost();
     try {
-        for (const auto &[name, value] : Poco::URI(request.getURI()).getQueryParameters()) {
+        for (const auto &[name, value] : Poco::URI(m_request.getURI()).getQueryParameters()) {
             if (name == "kind")
                 kind = value;
             if (name == "caller")
@@ -75,15 +75,22 @@
             problem.reason = policy::RefusalReason::NoConfiguration;
         }
         m_services.metrics.countRefusal(problem.reason);
-        sendProblem(response, problem);
+        sendProblem(m_caller, problem);
         return;
     }
     const policy::LookupAnswer answer = m_services.policy.lookUp(kind, *address);
-    const std::string body = toJson(answer);
+    Poco::Net::HTTPResponse response;
     response.setContentType("application/json");
     const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(answer.lifetime);
     response.set("Cache-Control", "private, max-age=" + std::to_string(seconds.count()));
-    response.sendBuffer(body.data(), body.size());
+    m_caller.sendResponse(response, toJson(answer));
+}
+
+void LookupHandler::onFault(network::RequestFault fault)
+{
+    const Problem problem = problemOf(fault);
+    m_services.metrics.countRefusal(problem.reason);
+    sendProblem(m_caller, problem);
 }
 
 } // namespace sardinehollow::entry
--- a/modules/sardinehollow_entry/handlers/LookupHandler.h
+++ b/modules/sardinehollow_entry/handlers/LookupHandler.h
@@ -1,22 +1,27 @@
 #pragma once
 
 #include "sardinehollow_entry/handlers/EntryServices.h"
+#include "sardinehollow_network/server/RequestHandler.h"
+#include "sardinehollow_network/server/ResponseSink.h"
 
-#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequest.h>
 
 namespace sardinehollow::entry {
 
-/** Serves GET /v1/entries. */
-class LookupHandler : public Poco::Net::HTTPRequestHandler
+/** Answers a caller's question which entry VMs to use. */
+class LookupHandler : public network::RequestHandler
 {
 public:
-    explicit LookupHandler(EntryServices &services);
+    LookupHandler(EntryServices &services, network::ResponseSink &caller,
+                  const Poco::Net::HTTPRequest &request);
 
-    void handleRequest(Poco::Net::HTTPServerRequest &request,
-                       Poco::Net::HTTPServerResponse &response) override;
+    void start() override;
+    void onFault(network::RequestFault fault) override;
 
 private:
     EntryServices &m_services;
+    network::ResponseSink &m_caller;
+    const Poco::Net::HTTPRequest m_request;
 };
 
 } // namespace sardinehollow::entry
--- /dev/null
+++ b/modules/sardinehollow_entry/handlers/RefusalHandler.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "sardinehollow_entry/exchange/Problem.h"
+#include "sardinehollow_entry/metrics/Metrics.h"
+#include "sardinehollow_network/server/RequestHandler.h"
+
+namespace sardinehollow::entry {
+
+/** Refuses a request of no known work kind, or one whose head cannot be read. */
+class RefusalHandler : public network::RequestHandler
+{
+public:
+    RefusalHandler(Metrics &metrics, network::ResponseSink &caller, Problem problem);
+
+    void start() override;
+    void onFault(network::RequestFault fault) override;
+
+private:
+    Metrics &m_metrics;
+    network::ResponseSink &m_caller;
+    Problem m_problem;
+};
+
+} // namespace sardinehollow::entry
--- /dev/null
+++ b/modules/sardinehollow_entry/handlers/WorkExchange.cpp
@@ -0,0 +1,537 @@
+#include "sardinehollow_entry/handlers/WorkExchange.h"
+
+#include "sardinehollow_core/hash/Sha256.h"
+#include "sardinehollow_core/hash/StableHash.h"
+#include "sardinehollow_entry/exchange/HeaderNames.h"
+
+#include <Poco/NumberParser.h>
+
+#include <algorithm>
+#include <optional>
+#include <vector>
+
+namespace sardinehollow::entry {
+
+namespace {
+
+using Poco::Net::HTTPResponse;
+using policy::AttemptOutcome;
+using policy::DecisionKind;
+using policy::RefusalReason;
+
+// Larger bodies are streamed and cannot be sent a second time.
+constexpr std::size_t keptBodyLimit = 64 * 1024;
+// Width of the window of a cap: by then each admission counted now has left it.
+constexpr core::Duration shiftRetryAfter = std::chrono::seconds(1);
+constexpr core::Duration claimRetryAfter = std::chrono::seconds(1);
+
+/** Returns the time that the caller gave, or nothing if the field is malformed. */
+std::optional<core::Duration> remainingTime(const Poco::Net::HTTPRequest &request,
+                                            const config::WorkKind &kind)
+{
+    if (!request.has(deadlineHeader))
+        return kind.defaultDeadline;
+    Poco::Int64 milliseconds = 0;
+    if (!Poco::NumberParser::tryParse64(request.get(deadlineHeader), milliseconds))
+        return std::nullopt;
+    // Compared before the conversion to nanoseconds, which would overflow.
+    const std::int64_t most = kind.defaultDeadline.count();
+    return std::chrono::milliseconds(std::clamp<std::int64_t>(milliseconds, 0, most));
+}
+
+// Reasons of a peer that had no slot to give; with any other it may have tried a backend server.
+bool isAdmissionRefusal(const AttemptResult &result)
+{
+    if (result.outcome != AttemptOutcome::NotRun)
+        return false;
+    return result.reason == RefusalReason::NoCapacity
+            || result.reason == RefusalReason::OwnershipHoldOff
+            || result.reason == RefusalReason::NotOwner
+            || result.reason == RefusalReason::QueueFull;
+}
+
+bool mayHaveRun(AttemptOutcome outcome)
+{
+    return outcome != AttemptOutcome::NotRun && outcome != AttemptOutcome::ConnectFailed;
+}
+
+HTTPResponse::HTTPStatus statusOf(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::KeyMissing:
+    case RefusalReason::MalformedRequest:
+        return HTTPResponse::HTTP_BAD_REQUEST;
+    case RefusalReason::BodyTooLarge:
+        return HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE;
+    case RefusalReason::KeyReused:
+    case RefusalReason::KeyInProgress:
+        return HTTPResponse::HTTP_CONFLICT;
+    default:
+        return HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
+    }
+}
+
+} // namespace
+
+WorkExchange::WorkExchange(EntryContext &context, network::ResponseSink &caller,
+                           const Poco::Net::HTTPRequest &request, core::HttpBodyFraming framing,
+                           std::shared_ptr<const config::Configuration> configuration,
+                           const config::WorkKind &kind, bool fromPeer)
+    : m_context(context)
+    , m_exchange(request, framing, std::move(configuration), kind, caller)
+    , m_fromPeer(fromPeer)
+{ }
+
+void WorkExchange::start()
+{
+    const std::optional<core::Duration> remaining
+            = remainingTime(m_exchange.request, m_exchange.kind);
+    if (!remaining) {
+        refuse(RefusalReason::MalformedRequest);
+        return;
+    }
+    if (m_exchange.framing.length > m_exchange.kind.maxRequestBytes) {
+        refuse(RefusalReason::BodyTooLarge);
+        return;
+    }
+    readOffer(*remaining);
+    ++m_context.services.inFlight;
+    m_inFlight = std::shared_ptr<void>(
+            nullptr, [&services = m_context.services](void *) { --services.inFlight; });
+    m_timer = m_context.loop.schedule(*remaining, [this] { onDeadline(); });
+    if (m_exchange.framing.length <= keptBodyLimit)
+        return;
+    m_exchange.isBodyStreamed = true;
+    offer();
+}
+
+void WorkExchange::readOffer(core::Duration remaining)
+{
+    policy::RequestOffer &offer = m_exchange.offer;
+    offer.id = {m_context.services.incarnation, ++m_context.services.sequence};
+    offer.workKind = m_exchange.kind.name;
+    offer.callerHash = core::stableHash(callerAddress());
+    offer.arrival = m_context.services.clock.now();
+    offer.deadline = offer.arrival + remaining;
+    offer.forwarded = m_fromPeer;
+    if (!m_fromPeer)
+        return;
+    // Fair shares are between callers, not between the daemons that forward their requests.
+    offer.originFailureDomain = m_exchange.request.get(originHeader, "");
+    Poco::UInt64 callerHash = 0;
+    if (Poco::NumberParser::tryParseUnsigned64(m_exchange.request.get(callerHashHeader, ""),
+                                               callerHash))
+        offer.callerHash = callerHash;
+}
+
+std::string WorkExchange::callerAddress() const
+{
+    if (m_context.services.trustCallerHeader && m_exchange.request.has(callerHeader))
+        return m_exchange.request.get(callerHeader);
+    return m_exchange.caller->peerHost();
+}
+
+std::string WorkExchange::identifyingBody() const
+{
+    // How much of it has arrived differs; it is known by its length and by the caller's digest.
+    if (m_exchange.isBodyStreamed && m_exchange.framing.kind == core::HttpBodyFraming::Kind::Fixed)
+        return {};
+    return m_exchange.body.substr(0, keptBodyLimit);
+}
+
+void WorkExchange::onRequestBody(std::string &&bytes)
+{
+    if (m_phase == Phase::Ended)
+        return;
+    m_exchange.bodyBytes += bytes.size();
+    if (m_exchange.bodyBytes > m_exchange.kind.maxRequestBytes) {
+        if (m_attempt)
+            m_attempt->onRequestCut(RefusalReason::BodyTooLarge);
+        else
+            refuse(RefusalReason::BodyTooLarge);
+        return;
+    }
+    m_exchange.isBodyGone = m_exchange.isBodyGone || (m_attempt && m_attempt->isConnected());
+    if (!m_exchange.isBodyGone)
+        m_exchange.body += bytes;
+    if (m_attempt) {
+        m_attempt->onRequestBody(bytes);
+        return;
+    }
+    if (m_exchange.isBodyStreamed) {
+        pauseBody();
+        return;
+    }
+    if (m_exchange.body.size() <= keptBodyLimit)
+        return;
+    m_exchange.isBodyStreamed = true;
+    offer();
+}
+
+void WorkExchange::onRequestEnd()
+{
+    m_exchange.isBodyWhole = true;
+    if (m_phase == Phase::Reading)
+        offer();
+    else if (m_attempt)
+        m_attempt->onRequestEnd();
+}
+
+void WorkExchange::onFault(network::RequestFault fault)
+{
+    if (m_attempt) {
+        m_attempt->onRequestCut(RefusalReason::MalformedRequest);
+        return;
+    }
+    const Problem problem = problemOf(fault);
+    m_context.services.metrics.countRefusal(problem.reason);
+    answer(problem);
+    close();
+}
+
+void WorkExchange::onResponseDrained()
+{
+    if (m_attempt)
+        m_attempt->onCallerDrained();
+}
+
+void WorkExchange::onCallerLeft()
+{
+    m_exchange.caller = nullptr;
+    if (m_attempt) {
+        m_attempt->onCallerLeft();
+        return;
+    }
+    // The answer of the claim gate tells whether there is a claim to withdraw.
+    if (m_phase == Phase::Claiming || m_phase == Phase::Ended)
+        return;
+    m_context.services.metrics.add("callers_left_total");
+    if (m_isClaimed && !m_mayHaveRun)
+        releaseClaim();
+    close();
+}
+
+void WorkExchange::onDeadline()
+{
+    const std::shared_ptr<WorkExchange> self = shared_from_this();
+    if (m_phase == Phase::Reading) {
+        refuse(RefusalReason::MalformedRequest);
+        return;
+    }
+    if (m_phase != Phase::Held)
+        return;
+    m_context.exchanges.deliver(m_context.services.policy.cancel(m_exchange.offer.id));
+    policy::Decision late;
+    late.id = m_exchange.offer.id;
+    late.kind = DecisionKind::Refuse;
+    late.reason = RefusalReason::DeadlinePassed;
+    apply(late);
+}
+
+void WorkExchange::offer()
+{
+    m_exchange.offer.fingerprint = core::combineHashes(
+            core::stableHash(m_exchange.request.getMethod() + " " + m_exchange.request.getURI()),
+            core::stableHash(identifyingBody()));
+    if (!isAdmittedByShifts()) {
+        refuse(RefusalReason::ShiftCap, shiftRetryAfter);
+        return;
+    }
+    m_context.exchanges.add(m_exchange.offer.id, shared_from_this());
+    apply(m_context.services.policy.offer(m_exchange.offer));
+    pauseBody();
+}
+
+void WorkExchange::pauseBody()
+{
+    const bool isWaiting = !m_attempt && m_exchange.isBodyStreamed && !m_exchange.isBodyWhole;
+    if (isWaiting && m_exchange.caller)
+        m_exchange.caller->setRequestReading(false);
+}
+
+bool WorkExchange::isAdmittedByShifts() const
+{
+    ShiftGate *shifts = m_context.services.shifts;
+    // The daemon that accepted a forwarded request has counted it.
+    if (m_fromPeer || shifts == nullptr || !shifts->isActive())
+        return true;
+    const core::Result<core::IpAddress> caller = core::IpAddress::parse(callerAddress());
+    // Without a valid address the default site applies, as it does to look-ups.
+    return shifts->admit(m_exchange.kind.name, caller.value_or(core::IpAddress()));
+}
+
+void WorkExchange::onDecision(const policy::Decision &decision)
+{
+    if (m_phase == Phase::Held)
+        apply(decision);
+}
+
+void WorkExchange::apply(const policy::Decision &decision)
+{
+    switch (decision.kind) {
+    case DecisionKind::Hold:
+        m_phase = Phase::Held;
+        return;
+    case DecisionKind::Refuse:
+    case DecisionKind::Finish:
+        endUnserved(decision);
+        return;
+    default:
+        break;
+    }
+    // A peer that forwards has claimed the key already.
+    if (!m_isClaimed && !m_exchange.kind.idempotent && !m_fromPeer)
+        startClaim(decision);
+    else
+        attempt(decision);
+}
+
+void WorkExchange::endUnserved(const policy::Decision &decision)
+{
+    const bool isRefused = decision.kind == DecisionKind::Refuse;
+    const RefusalReason reason = isRefused ? decision.reason : m_lastReason;
+    if (m_exchange.download.active) {
+        abortAnswer();
+        close();
+        return;
+    }
+    if (m_mayHaveRun) {
+        answerUnknown(reason);
+        return;
+    }
+    if (m_isClaimed)
+        releaseClaim();
+    refuse(reason, isRefused ? decision.retryAfter : m_lastRetryAfter);
+}
+
+void WorkExchange::startClaim(const policy::Decision &decision)
+{
+    m_claim.workKind = m_exchange.kind.name;
+    m_claim.key = m_exchange.request.get(idempotencyKeyHeader, "");
+    m_claim.contentDigest = core::sha256Hex(
+            m_exchange.request.getMethod() + " " + m_exchange.request.getURI() + "\n"
+            + m_exchange.request.get("Content-Length", "") + "\n"
+            + m_exchange.request.get("Content-Digest", "") + "\n" + identifyingBody());
+    m_claim.deadline = m_exchange.offer.deadline;
+    m_claim.retention = m_exchange.kind.claimRetention;
+    if (m_claim.key.empty()) {
+        refuse(RefusalReason::KeyMissing);
+        return;
+    }
+    m_phase = Phase::Claiming;
+    // The last reference is given up on the loop's thread.
+    m_context.claimThreads.run([self = shared_from_this(), decision, claim = m_claim]() mutable {
+        EntryContext &context = self->m_context;
+        ClaimAnswer answer {ClaimStart::Refuse, RefusalReason::DeadlinePassed, 0, {}, 0};
+        if (context.services.clock.now() < claim.deadline)
+            answer = context.services.claims.begin(claim);
+        context.loop.post([self = std::move(self), decision = std::move(decision),
+                           answer = std::move(answer)] { self->onClaimed(decision, answer); });
+    });
+}
+
+void WorkExchange::onClaimed(const policy::Decision &decision, const ClaimAnswer &answer)
+{
+    m_claim.claim = answer.claim;
+    const bool proceeds = answer.start == ClaimStart::Proceed;
+    const bool isWanted = m_phase == Phase::Claiming && m_exchange.caller;
+    if (!isWanted) {
+        m_context.services.metrics.add("callers_left_total");
+        if (proceeds)
+            releaseClaim();
+        close();
+        return;
+    }
+    switch (answer.start) {
+    case ClaimStart::Proceed:
+        m_isClaimed = true;
+        attempt(decision);
+        return;
+    case ClaimStart::Replay:
+        replay(answer);
+        return;
+    case ClaimStart::Unknown:
+        answerUnknown(answer.reason);
+        return;
+    case ClaimStart::Refuse:
+        refuse(answer.reason, claimRetryAfter);
+        return;
+    }
+}
+
+void WorkExchange::attempt(const policy::Decision &decision)
+{
+    m_phase = Phase::Attempting;
+    // The attempt is on the call stack when it ends.
+    const auto onEnd
+            = [weak = weak_from_this(), &loop = m_context.loop](const AttemptResult &result) {
+                  loop.defer([weak, result] {
+                      if (const std::shared_ptr<WorkExchange> self = weak.lock())
+                          self->onAttemptEnd(result);
+                  });
+              };
+    m_attempt = std::make_unique<ForwardAttempt>(m_context, m_exchange, decision, onEnd);
+    m_attempt->start();
+}
+
+void WorkExchange::onAttemptEnd(const AttemptResult &result)
+{
+    m_lastReason = result.reason;
+    m_lastRetryAfter = result.retryAfter;
+    m_mayHaveRun = m_mayHaveRun || mayHaveRun(result.outcome);
+    const policy::Decision decision = reportAttempt(result);
+    m_attempt.reset();
+    if (m_isClaimed)
+        recordOutcome(result);
+    if (result.outcome == AttemptOutcome::Completed) {
+        m_context.services.metrics.recordLatency(m_exchange.kind.rank, m_exchange.kind.name,
+                                                 m_context.services.clock.now()
+                                                         - m_exchange.offer.arrival);
+        close();
+        return;
+    }
+    if (result.outcome == AttemptOutcome::CallerLeft) {
+        endWithoutAnswer(result);
+        return;
+    }
+    if (result.responseStarted && !m_exchange.download.active) {
+        close();
+        return;
+    }
+    if (decision.kind != DecisionKind::Finish)
+        m_context.services.metrics.countRetry(result.reason);
+    apply(decision);
+    pauseBody();
+}
+
+policy::Decision WorkExchange::reportAttempt(const AttemptResult &result)
+{
+    const policy::Decision &decision = m_attempt->decision();
+    policy::AttemptReport report;
+    report.id = m_exchange.offer.id;
+    report.attempt = decision.attempt;
+    report.refusedByPeer = decision.kind == DecisionKind::Forward && isAdmissionRefusal(result);
+    report.outcome = result.outcome;
+    report.now = m_context.services.clock.now();
+    report.latency = result.latency;
+    report.responseBytes = result.responseBytes;
+    // A body that was streamed is gone, so the request cannot be sent again.
+    report.responseStarted
+            = (result.responseStarted && !m_exchange.download.active) || m_exchange.isBodyGone;
+    std::vector<policy::Decision> decisions = m_context.services.policy.complete(report);
+    policy::Decision own;
+    own.id = m_exchange.offer.id;
+    own.kind = DecisionKind::Finish;
+    if (!decisions.empty() && decisions.front().id == m_exchange.offer.id) {
+        own = decisions.front();
+        decisions.erase(decisions.begin());
+    }
+    m_context.exchanges.deliver(decisions);
+    return own;
+}
+
+void WorkExchange::recordOutcome(const AttemptResult &result)
+{
+    const bool isWhole = result.outcome == AttemptOutcome::Completed
+            || (result.outcome == AttemptOutcome::CallerLeft && result.responseWhole);
+    if (!isWhole)
+        return;
+    // No more than the start of a large body is kept.
+    const bool isKept = result.recordedBody.size() == result.responseBytes;
+    m_context.claimThreads.run([&services = m_context.services, inFlight = m_inFlight,
+                                claim = m_claim, status = isKept ? result.status : 0,
+                                body = isKept ? result.recordedBody : std::string()] {
+        services.claims.finish(claim, status, body);
+    });
+}
+
+void WorkExchange::releaseClaim()
+{
+    m_isClaimed = false;
+    m_context.claimThreads.run([&services = m_context.services, inFlight = m_inFlight,
+                                claim = m_claim] { services.claims.release(claim); });
+}
+
+void WorkExchange::endWithoutAnswer(const AttemptResult &result)
+{
+    const bool tellsWhy = result.reason == RefusalReason::BodyTooLarge && !result.responseStarted;
+    if (!tellsWhy) {
+        m_context.services.metrics.add("callers_left_total");
+        abortAnswer();
+        close();
+        return;
+    }
+    // A part of the body has reached a backend server, so it cannot be said that nothing ran.
+    m_context.services.metrics.countRefusal(result.reason);
+    Problem problem;
+    problem.status = HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE;
+    problem.outcome = Outcome::Unknown;
+    problem.reason = result.reason;
+    answer(problem);
+    close();
+}
+
+void WorkExchange::refuse(RefusalReason reason, core::Duration retryAfter)
+{
+    m_context.services.metrics.countRefusal(reason);
+    Problem problem;
+    problem.status = statusOf(reason);
+    problem.reason = reason;
+    problem.retryAfter = retryAfter;
+    answer(problem);
+    close();
+}
+
+void WorkExchange::answerUnknown(RefusalReason reason)
+{
+    m_context.services.metrics.countRefusal(reason);
+    Problem problem;
+    problem.status = HTTPResponse::HTTP_BAD_GATEWAY;
+    problem.outcome = Outcome::Unknown;
+    problem.reason = reason;
+    answer(problem);
+    close();
+}
+
+void WorkExchange::replay(const ClaimAnswer &answer)
+{
+    HTTPResponse response(static_cast<HTTPResponse::HTTPStatus>(answer.status));
+    response.set(outcomeHeader, std::string(toName(Outcome::Complete)));
+    response.set(generationHeader, std::to_string(m_exchange.configuration->generation));
+    network::ResponseSink &caller = *m_exchange.caller;
+    m_exchange.caller = nullptr;
+    caller.sendResponse(response, answer.body);
+    close();
+}
+
+void WorkExchange::answer(Problem problem)
+{
+    if (!m_exchange.caller)
+        return;
+    problem.generation = m_exchange.configuration->generation;
+    network::ResponseSink &caller = *m_exchange.caller;
+    m_exchange.caller = nullptr;
+    sendProblem(caller, problem);
+}
+
+void WorkExchange::abortAnswer()
+{
+    if (!m_exchange.caller)
+        return;
+    network::ResponseSink &caller = *m_exchange.caller;
+    m_exchange.caller = nullptr;
+    caller.abortResponse();
+}
+
+void WorkExchange::close()
+{
+    if (m_phase == Phase::Ended)
+        return;
+    m_phase = Phase::Ended;
+    m_context.loop.cancel(m_timer);
+    m_context.exchanges.deliver(m_context.services.policy.cancel(m_exchange.offer.id));
+    m_inFlight.reset();
+    m_context.exchanges.remove(m_exchange.offer.id);
+}
+
+} // namespace sardinehollow::entry
--- /dev/null
+++ b/modules/sardinehollow_entry/server/EntryServer.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "sardinehollow_entry/forwarding/BackendPoller.h"
+#include "sardinehollow_entry/handlers/EntryContext.h"
+#include "sardinehollow_entry/handlers/EntryHandlerFactory.h"
+#include "sardinehollow_entry/server/LoopThread.h"
+#include "sardinehollow_network/server/ServerListener.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sardinehollow::entry {
+
+/** Where an entry server listens and what it may use. */
+struct EntryServerSettings
+{
+    /** "IP:port" for callers. */
+    std::string callerAddress;
+    /** "IP:port" for requests that peers forward. */
+    std::string forwardAddress;
+    /** Time after which an idle connection is closed. */
+    core::Duration idleTimeout {0};
+    std::size_t claimThreads = 0;
+};
+
+/** Serves callers and peers on one event loop. Public calls are safe for concurrent use. */
+class EntryServer
+{
+public:
+    /** Binds the addresses; throws Poco::Exception if that fails. */
+    EntryServer(const EntryServerSettings &settings, EntryServices &services);
+    ~EntryServer();
+
+    void start();
+    /** Ends the loop and waits for open calls of the claim gate, which must still be served. */
+    void stop();
+    /** Accepts no more connections and ends idle ones; requests in flight go on. */
+    void stopAccepting();
+    /** Hands decisions to the requests that they are about. */
+    void deliver(std::vector<policy::Decision> decisions);
+
+    /** "IP:port" with the port that was bound. */
+    std::string callerAddress() const { return m_callerAddress; }
+    std::string forwardAddress() const { return m_forwardAddress; }
+    /** Only the counters may be read. */
+    const ForwardPool &pool() const { return m_pool; }
+
+private:
+    std::unique_ptr<network::ServerListener> listen(const std::string &address,
+                                                    EntryHandlerFactory &factory);
+    void onTick();
+
+    EntryServices &m_services;
+    network::EventLoop m_loop;
+    ForwardPool m_pool;
+    ExchangeRegistry m_exchanges;
+    ClaimThreads m_claimThreads;
+    EntryContext m_context;
+    BackendPoller m_poller;
+    EntryHandlerFactory m_callerHandlers;
+    EntryHandlerFactory m_peerHandlers;
+    std::unique_ptr<network::ServerListener> m_callers;
+    std::unique_ptr<network::ServerListener> m_peers;
+    std::string m_callerAddress;
+    std::string m_forwardAddress;
+    LoopThread m_thread;
+};
+
+} // namespace sardinehollow::entry
--- a/modules/sardinehollow_gateway/application/GatewayApplication.cpp
+++ b/modules/sardinehollow_gateway/application/GatewayApplication.cpp
@@ -26,7 +26,7 @@
 
 std::uint64_t seedOf(const GatewaySettings &settings, std::string_view purpose)
 {
-    const auto start = static_cast<std::uint64_t>(BootClock().now().count());
+    const auto start = static_cast<std::uint64_t>(network::BootClock().now().count());
     return core::combineHashes(core::stableHash(settings.self.name + std::string(purpose)), start);
 }
 
@@ -44,6 +44,7 @@
     , m_routing(m_settings.routing, m_random)
     , m_pool(m_loop, protocol)
     , m_services {m_loop, protocol, m_routing, m_pool, m_metrics, m_log}
+    , m_exchanges(m_services)
     , m_operator(m_services, schema)
     , m_servers(m_services, schema, m_settings.reappearanceTime)
     , m_entries(m_services, m_settings.reappearanceTime + std::chrono::seconds(1))
@@ -67,19 +68,38 @@
 
 void GatewayApplication::startListeners()
 {
-    m_callers = std::make_unique<CallerListener>(m_services, m_settings.self.address);
-    m_readiness = std::make_unique<QueryListener>(
-            m_loop, m_settings.readinessAddress,
+    const std::string &address = m_settings.self.address;
+    m_callers = std::make_unique<network::ServerListener>(
+            m_loop, address, m_exchanges,
+            [this, address](const std::string &reason) { onAcceptFailed(address, reason); });
+    m_readiness = makeQueryListener(
+            m_settings.readinessAddress,
             [this](const Poco::Net::HTTPRequest &) { return answerReadiness(); });
-    m_directory = std::make_unique<QueryListener>(
-            m_loop, m_settings.directoryAddress,
+    m_directory = makeQueryListener(
+            m_settings.directoryAddress,
             [this](const Poco::Net::HTTPRequest &request) { return answerEntryQuery(request); });
     if (m_settings.metricsAddress.empty())
         return;
-    m_metricsListener = std::make_unique<QueryListener>(
-            m_loop, m_settings.metricsAddress, [this](const Poco::Net::HTTPRequest &) {
-                return QueryListener::Answer {200, "text/plain; version=0.0.4", metricsText()};
-            });
+    m_metricsListener
+            = makeQueryListener(m_settings.metricsAddress, [this](const Poco::Net::HTTPRequest &) {
+                  return network::QueryListener::Answer {200, "text/plain; version=0.0.4",
+                                                         metricsText()};
+              });
+}
+
+std::unique_ptr<network::QueryListener>
+GatewayApplication::makeQueryListener(const std::string &address,
+                                      network::QueryListener::Handler handler)
+{
+    return std::make_unique<network::QueryListener>(
+            m_loop, address, std::move(handler),
+            [this, address](const std::string &reason) { onAcceptFailed(address, reason); });
+}
+
+void GatewayApplication::onAcceptFailed(const std::string &address, const std::string &reason)
+{
+    m_metrics.countAcceptFailure();
+    m_log.state(LogLine("accept-failed").text("address", address).text("error", reason));
 }
 
 void GatewayApplication::run()
@@ -170,14 +190,14 @@
     return !m_services.isLeaving && m_routing.table() != nullptr;
 }
 
-QueryListener::Answer GatewayApplication::answerReadiness() const
+network::QueryListener::Answer GatewayApplication::answerReadiness() const
 {
     if (isReady())
         return {200, "text/plain", "ready\n"};
     return {503, "text/plain", m_services.isLeaving ? "leaving\n" : "no configuration yet\n"};
 }
 
-QueryListener::Answer
+network::QueryListener::Answer
 GatewayApplication::answerEntryQuery(const Poco::Net::HTTPRequest &request) const
 {
     const std::optional<EntryQuery> query = m_protocol.readEntryQuery(request);
--- a/modules/sardinehollow_gateway/application/GatewayApplication.h
+++ b/modules/sardinehollow_gateway/application/GatewayApplication.h
@@ -8,9 +8,10 @@
 #include "sardinehollow_gateway/application/PrefixDispatcher.h"
 #include "sardinehollow_gateway/application/ServerTracker.h"
 #include "sardinehollow_gateway/application/StoreSchema.h"
-#include "sardinehollow_gateway/caller/CallerListener.h"
-#include "sardinehollow_gateway/loop/BootClock.h"
-#include "sardinehollow_gateway/query/QueryListener.h"
+#include "sardinehollow_gateway/exchange/ExchangeFactory.h"
+#include "sardinehollow_network/loop/BootClock.h"
+#include "sardinehollow_network/server/QueryListener.h"
+#include "sardinehollow_network/server/ServerListener.h"
 #include "sardinehollow_platform/lease/LeasedKey.h"
 
 #include <functional>
@@ -37,34 +38,38 @@
 
 private:
     void startListeners();
+    std::unique_ptr<network::QueryListener>
+    makeQueryListener(const std::string &address, network::QueryListener::Handler handler);
+    void onAcceptFailed(const std::string &address, const std::string &reason);
     void onTick();
     void onRenewalFailed(const core::Error &error);
     void checkSignals();
     void beginStop();
     void advanceStop();
     bool isReady() const;
-    QueryListener::Answer answerReadiness() const;
-    QueryListener::Answer answerEntryQuery(const Poco::Net::HTTPRequest &request) const;
+    network::QueryListener::Answer answerReadiness() const;
+    network::QueryListener::Answer answerEntryQuery(const Poco::Net::HTTPRequest &request) const;
     std::string metricsText() const;
 
     const GatewaySettings m_settings;
     const WireProtocol &m_protocol;
     platform::KeyValueStore &m_store;
-    BootClock m_clock;
+    network::BootClock m_clock;
     core::SeededRandom m_random;
-    EventLoop m_loop;
+    network::EventLoop m_loop;
     EventLog m_log;
     GatewayMetrics m_metrics;
     routing::RoutingState m_routing;
     BackendPool m_pool;
     GatewayServices m_services;
+    ExchangeFactory m_exchanges;
     OperatorTracker m_operator;
     ServerTracker m_servers;
     EntryTracker m_entries;
-    std::unique_ptr<QueryListener> m_readiness;
-    std::unique_ptr<QueryListener> m_directory;
-    std::unique_ptr<QueryListener> m_metricsListener;
-    std::unique_ptr<CallerListener> m_callers;
+    std::unique_ptr<network::QueryListener> m_readiness;
+    std::unique_ptr<network::QueryListener> m_directory;
+    std::unique_ptr<network::QueryListener> m_metricsListener;
+    std::unique_ptr<network::ServerListener> m_callers;
     PrefixDispatcher m_dispatcher;
     std::unique_ptr<LoopMirror> m_mirror;
     std::unique_ptr<platform::LeasedKey> m_ownEntry;
--- a/modules/sardinehollow_gateway/application/LoopMirror.h
+++ b/modules/sardinehollow_gateway/application/LoopMirror.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "sardinehollow_gateway/loop/EventLoop.h"
+#include "sardinehollow_network/loop/EventLoop.h"
 #include "sardinehollow_platform/mirror/MirrorListener.h"
 #include "sardinehollow_platform/mirror/PrefixMirror.h"
 
@@ -10,8 +10,9 @@
 class LoopMirror : private platform::MirrorListener
 {
 public:
-    LoopMirror(EventLoop &loop, platform::KeyValueStore &store, platform::CallPurpose purpose,
-               const std::string &prefix, platform::MirrorListener &target, std::uint64_t seed)
+    LoopMirror(network::EventLoop &loop, platform::KeyValueStore &store,
+               platform::CallPurpose purpose, const std::string &prefix,
+               platform::MirrorListener &target, std::uint64_t seed)
         : m_loop(loop)
         , m_target(target)
         , m_mirror(store, purpose, prefix, *this, seed)
@@ -38,7 +39,7 @@
         m_loop.post([this] { m_target.onStoreRegained(); });
     }
 
-    EventLoop &m_loop;
+    network::EventLoop &m_loop;
     platform::MirrorListener &m_target;
     platform::PrefixMirror m_mirror;
 };
--- a/modules/sardinehollow_gateway/backend/BackendPool.h
+++ b/modules/sardinehollow_gateway/backend/BackendPool.h
@@ -1,12 +1,7 @@
 #pragma once
 
 #include "sardinehollow_gateway/backend/BackendConnection.h"
-
-#include <cstdint>
-#include <map>
-#include <memory>
-#include <unordered_map>
-#include <vector>
+#include "sardinehollow_network/client/ClientPool.h"
 
 namespace sardinehollow::gateway {
 
@@ -14,7 +9,7 @@
 class BackendPool
 {
 public:
-    BackendPool(EventLoop &loop, const WireProtocol &protocol);
+    BackendPool(network::EventLoop &loop, const WireProtocol &protocol);
 
     /**
      * Returns a free connection that was idle for no longer than the limit, or a new one. Throws
@@ -24,22 +19,16 @@
     /** Closes the free connections of servers that are gone and those that were idle too long. */
     void prune();
     /** Closes the free connections to a server: one of them proved to be dead. */
-    void dropIdle(const routing::BackendState &server);
+    void dropIdle(const routing::BackendState &server) { m_pool.dropIdle(&server); }
 
-    std::uint64_t opened() const { return m_opened; }
-    std::uint64_t reused() const { return m_reused; }
-    std::size_t size() const { return m_connections.size(); }
+    std::uint64_t opened() const { return m_pool.opened(); }
+    std::uint64_t reused() const { return m_pool.reused(); }
+    std::size_t size() const { return m_pool.size(); }
 
 private:
-    void onRelease(BackendConnection &connection, bool isReusable);
-    void destroy(BackendConnection &connection);
-
-    EventLoop &m_loop;
+    network::EventLoop &m_loop;
     const WireProtocol &m_protocol;
-    std::unordered_map<BackendConnection *, std::unique_ptr<BackendConnection>> m_connections;
-    std::map<const routing::BackendState *, std::vector<BackendConnection *>> m_idle;
-    std::uint64_t m_opened = 0;
-    std::uint64_t m_reused = 0;
+    network::ClientPool<const routing::BackendState *, BackendConnection> m_pool;
 };
 
 } // namespace sardinehollow::gateway
--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -1,7 +1,7 @@
 #include "sardinehollow_gateway/exchange/Exchange.h"
 
 #include "sardinehollow_core/hash/StableHash.h"
-#include "sardinehollow_gateway/http/MessageWriter.h"
+#include "sardinehollow_network/http/MessageWriter.h"
 
 #include <Poco/Exception.h>
 #include <Poco/NumberFormatter.h>
@@ -55,14 +55,28 @@
     }
 }
 
-RetryReason toRetryReason(AttemptFailure failure)
+RequestOutcome toOutcome(network::RequestFault fault)
+{
+    switch (fault) {
+    case network::RequestFault::HeaderTooLarge:
+        return RequestOutcome::HeaderTooLarge;
+    case network::RequestFault::HeaderTimeout:
+        return RequestOutcome::RequestTimeout;
+    case network::RequestFault::Malformed:
+    case network::RequestFault::UnsupportedVersion:
+        return RequestOutcome::Malformed;
+    }
+    return RequestOutcome::Malformed;
+}
+
+RetryReason toRetryReason(network::AttemptFailure failure)
 {
     switch (failure) {
-    case AttemptFailure::NotConnected:
+    case network::AttemptFailure::NotConnected:
         return RetryReason::NotConnected;
-    case AttemptFailure::Broken:
+    case network::AttemptFailure::Broken:
         return RetryReason::Broken;
-    case AttemptFailure::InvalidResponse:
+    case network::AttemptFailure::InvalidResponse:
         return RetryReason::InvalidResponse;
     }
     return RetryReason::Broken;
@@ -85,7 +99,7 @@
 
 } // namespace
 
-Exchange::Exchange(GatewayServices &services, ResponseSink &sink,
+Exchange::Exchange(GatewayServices &services, network::ResponseSink &sink,
                    const Poco::Net::HTTPRequest &request, core::HttpBodyFraming framing)
     : m_services(services)
     , m_sink(sink)
@@ -104,6 +118,10 @@
 void Exchange::start()
 {
     m_table = m_services.routing.table();
+    if (m_request.get("Host", "").empty()) {
+        refuse(RequestOutcome::Malformed, "the request names no host");
+        return;
+    }
     if (m_services.isRefusing) {
         refuse(RequestOutcome::Leaving, "the daemon stops; use another one");
         return;
@@ -199,7 +217,7 @@
     m_services.routing.onSent(*server, m_services.loop.now());
     ++m_attempts;
     Poco::Net::HTTPRequest request = m_request;
-    removeConnectionFields(request);
+    network::removeConnectionFields(request);
     m_services.protocol.addressRequest(request, server->server().id, timeLeft());
     if (m_isBodyStreamed && m_framing.kind == core::HttpBodyFraming::Kind::Chunked)
         request.set("Transfer-Encoding", "chunked");
@@ -208,12 +226,13 @@
     else if (m_framing.kind != core::HttpBodyFraming::Kind::None)
         request.set("Content-Length", std::to_string(m_body.size()));
     if (m_isBodyStreamed) {
-        m_backend->start(toText(request), request.getMethod(), m_facts.requestId, *this);
+        m_backend->start(network::toText(request), request.getMethod(), m_facts.requestId, *this);
         sendBody(m_body);
         m_body.clear();
         return;
     }
-    m_backend->start(toText(request) + m_body, request.getMethod(), m_facts.requestId, *this);
+    m_backend->start(network::toText(request) + m_body, request.getMethod(), m_facts.requestId,
+                     *this);
     if (m_backend)
         m_backend->finishRequest();
 }
@@ -223,7 +242,7 @@
     if (!m_backend || bytes.empty())
         return;
     const bool isChunked = m_framing.kind == core::HttpBodyFraming::Kind::Chunked;
-    m_backend->send(isChunked ? toChunk(bytes) : std::string(bytes));
+    m_backend->send(isChunked ? network::toChunk(bytes) : std::string(bytes));
     if (m_backend && m_backend->unsentBytes() > mostWaitingBytes)
         m_sink.setRequestReading(false);
 }
@@ -233,7 +252,7 @@
     if (!m_backend)
         return;
     if (m_framing.kind == core::HttpBodyFraming::Kind::Chunked)
-        m_backend->send(toChunk({}));
+        m_backend->send(network::toChunk({}));
     if (m_backend)
         m_backend->finishRequest();
 }
@@ -276,7 +295,7 @@
     m_isStreaming = true;
     HTTPResponse response = *m_response;
     const std::string length = response.get("Content-Length", "");
-    removeConnectionFields(response);
+    network::removeConnectionFields(response);
     if (m_hasKnownLength)
         response.set("Content-Length", length);
     m_sink.startResponse(response);
@@ -331,7 +350,7 @@
     HTTPResponse response = *m_response;
     const std::string length = response.get("Content-Length", "");
     const int status = response.getStatus();
-    removeConnectionFields(response);
+    network::removeConnectionFields(response);
     // The response to HEAD states the length of a body that it does not have.
     if (m_request.getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD && !length.empty())
         response.set("Content-Length", length);
@@ -339,10 +358,10 @@
     finish(RequestOutcome::Delivered, status, std::string(toName(m_selectionReason)));
 }
 
-void Exchange::onAttemptFailed(AttemptFailure failure, const std::string &detail)
+void Exchange::onAttemptFailed(network::AttemptFailure failure, const std::string &detail)
 {
     m_backend = nullptr;
-    if (failure == AttemptFailure::NotConnected)
+    if (failure == network::AttemptFailure::NotConnected)
         m_server->onUnreachable(m_services.loop.now());
     else
         m_server->onFailure(m_services.loop.now());
@@ -351,7 +370,7 @@
         finish(RequestOutcome::ResponseCut, m_response->getStatus(), detail);
         return;
     }
-    if (failure != AttemptFailure::InvalidResponse)
+    if (failure != network::AttemptFailure::InvalidResponse)
         m_services.pool.dropIdle(*m_server);
     endAttempt(toRetryReason(failure), detail);
 }
@@ -423,7 +442,12 @@
     finish(RequestOutcome::TimedOut, HTTPResponse::HTTP_GATEWAY_TIMEOUT, "no response in time");
 }
 
-void Exchange::cancel()
+void Exchange::onFault(network::RequestFault fault)
+{
+    refuse(toOutcome(fault), "the request cannot be read on");
+}
+
+void Exchange::onCallerLeft()
 {
     if (m_isFinished)
         return;
--- a/modules/sardinehollow_gateway/exchange/Exchange.h
+++ b/modules/sardinehollow_gateway/exchange/Exchange.h
@@ -1,8 +1,10 @@
 #pragma once
 
-#include "sardinehollow_gateway/backend/AttemptListener.h"
+#include "sardinehollow_core/http/HttpBodyFraming.h"
 #include "sardinehollow_gateway/exchange/GatewayServices.h"
-#include "sardinehollow_gateway/exchange/ResponseSink.h"
+#include "sardinehollow_network/client/ResponseListener.h"
+#include "sardinehollow_network/server/RequestHandler.h"
+#include "sardinehollow_network/server/ResponseSink.h"
 
 #include <Poco/Net/HTTPRequest.h>
 
@@ -14,28 +16,26 @@
 namespace sardinehollow::gateway {
 
 /** One request of a caller: routing, attempts at backend servers and the response. */
-class Exchange : public AttemptListener
+class Exchange : public network::RequestHandler, public network::ResponseListener
 {
 public:
-    Exchange(GatewayServices &services, ResponseSink &sink, const Poco::Net::HTTPRequest &request,
-             core::HttpBodyFraming framing);
+    Exchange(GatewayServices &services, network::ResponseSink &sink,
+             const Poco::Net::HTTPRequest &request, core::HttpBodyFraming framing);
     ~Exchange() override;
 
     /** Routes the request; a refusal is sent at once. */
-    void start();
-    void onRequestBody(std::string &&bytes);
-    void onRequestEnd();
-    /** The caller took what was sent to it. */
-    void onResponseDrained();
-    /** The caller left: the run at the backend server ends with its connection. */
-    void cancel();
-    /** Answers without a backend server, for example because the request is not proper. */
-    void refuse(RequestOutcome outcome, const std::string &detail);
+    void start() override;
+    void onRequestBody(std::string &&bytes) override;
+    void onRequestEnd() override;
+    void onFault(network::RequestFault fault) override;
+    void onResponseDrained() override;
+    /** The run at the backend server ends with its connection. */
+    void onCallerLeft() override;
 
     void onResponseHead(const Poco::Net::HTTPResponse &response, bool hasKnownLength) override;
     void onResponseBody(std::string &&bytes) override;
     void onResponseEnd() override;
-    void onAttemptFailed(AttemptFailure failure, const std::string &detail) override;
+    void onAttemptFailed(network::AttemptFailure failure, const std::string &detail) override;
     void onRequestDrained() override;
 
 private:
@@ -47,6 +47,8 @@
     void onTimeout();
     void endAttempt(RetryReason reason, const std::string &detail);
     void logFailedAttempt(RetryReason reason, const std::string &detail);
+    /** Answers without a backend server. */
+    void refuse(RequestOutcome outcome, const std::string &detail);
     bool mayRetry(RetryReason reason);
     void giveUp(RetryReason reason, const std::string &detail);
     void startStreaming();
@@ -55,7 +57,7 @@
     void removeBackend();
 
     GatewayServices &m_services;
-    ResponseSink &m_sink;
+    network::ResponseSink &m_sink;
     Poco::Net::HTTPRequest m_request;
     const core::HttpBodyFraming m_framing;
     CallerRequestFacts m_facts;
@@ -65,7 +67,7 @@
     const routing::Route *m_route = nullptr;
     std::string m_service;
     std::uint64_t m_objectHash = 0;
-    EventLoop::Timer m_timer;
+    network::EventLoop::Timer m_timer;
 
     /** The request's body as far as it is kept; all of it unless it is streamed. */
     std::string m_body;
--- a/modules/sardinehollow_gateway/exchange/GatewayServices.h
+++ b/modules/sardinehollow_gateway/exchange/GatewayServices.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "sardinehollow_gateway/backend/BackendPool.h"
-#include "sardinehollow_gateway/http/WireProtocol.h"
+#include "sardinehollow_gateway/exchange/WireProtocol.h"
 #include "sardinehollow_gateway/logging/EventLog.h"
-#include "sardinehollow_gateway/loop/EventLoop.h"
 #include "sardinehollow_gateway/status/GatewayMetrics.h"
+#include "sardinehollow_network/loop/EventLoop.h"
 #include "sardinehollow_routing/state/RoutingState.h"
 
 namespace sardinehollow::gateway {
@@ -12,7 +12,7 @@
 /** What the handling of a request uses; lives as long as the daemon. */
 struct GatewayServices
 {
-    EventLoop &loop;
+    network::EventLoop &loop;
     const WireProtocol &protocol;
     routing::RoutingState &routing;
     BackendPool &pool;
--- a/modules/sardinehollow_gateway/status/GatewayMetrics.cpp
+++ b/modules/sardinehollow_gateway/status/GatewayMetrics.cpp
@@ -29,6 +29,11 @@
         writer.sample("attempts_failed_total",
                       {{"reason", toName(static_cast<RetryReason>(index))}},
                       std::to_string(m_retries[index]));
+    writer.family("accept_failures_total",
+                  "Times that connections could no longer be accepted, for example without a free "
+                  "descriptor.",
+                  "counter");
+    writer.sample("accept_failures_total", {}, std::to_string(m_acceptFailures));
     writer.family("request_seconds", "Time from arrival to the response.", "histogram");
     for (const auto &[service, histogram] : m_latencies)
         histogram->appendTo(writer.text(),
--- /dev/null
+++ b/modules/sardinehollow_network/client/ClientConnection.cpp
@@ -0,0 +1,209 @@
+#include "sardinehollow_network/client/ClientConnection.h"
+
+#include "sardinehollow_network/http/HeadReader.h"
+
+#include <Poco/NumberParser.h>
+#include <Poco/String.h>
+
+namespace sardinehollow::network {
+
+namespace {
+
+constexpr std::size_t longestHead = 64 * 1024;
+// A server that does not say how long it keeps idle connections open.
+constexpr core::Duration defaultIdleLimit = std::chrono::seconds(4);
+// The server's timer started earlier than ours, and it says whole seconds.
+constexpr core::Duration idleMargin = std::chrono::milliseconds(1500);
+
+} // namespace
+
+ClientConnection::ClientConnection(EventLoop &eventLoop, const Poco::Net::SocketAddress &address,
+                                   core::Duration connectTimeout, ReleaseHandler onRelease)
+    : BufferedConnection(eventLoop, address)
+    , m_onRelease(std::move(onRelease))
+    , m_idleLimit(defaultIdleLimit)
+    , m_startedAt(eventLoop.now())
+{
+    m_connectTimer = loop().schedule(connectTimeout, [this] {
+        if (isConnected() || !isOpen())
+            return;
+        close();
+        onClosed("no answer to the connection attempt");
+    });
+}
+
+ClientConnection::~ClientConnection()
+{
+    loop().cancel(m_connectTimer);
+}
+
+void ClientConnection::start(const std::string &head, const std::string &method,
+                             ResponseListener &listener)
+{
+    m_listener = &listener;
+    m_method = method;
+    m_isRequestWhole = false;
+    m_decoder.reset();
+    send(head);
+}
+
+void ClientConnection::abandon()
+{
+    if (m_listener)
+        onRequestEnded(false);
+    m_listener = nullptr;
+    // A request that a partition holds up would otherwise reach the server once the partition ends.
+    reset();
+    release(false);
+}
+
+void ClientConnection::onConnected()
+{
+    loop().cancel(m_connectTimer);
+    onEstablished(loop().now() - m_startedAt);
+}
+
+void ClientConnection::onInput()
+{
+    if (!m_listener) {
+        // Nothing is asked for: an extra response to an earlier request.
+        close();
+        release(false);
+        return;
+    }
+    while (m_listener && !input().empty()) {
+        if (!m_decoder && !readResponseHead())
+            return;
+        if (m_decoder)
+            readResponseBody();
+        if (m_decoder)
+            return;
+    }
+}
+
+bool ClientConnection::readResponseHead()
+{
+    Poco::Net::HTTPResponse response;
+    const HeadStatus status = readHead(input(), longestHead, response);
+    if (status == HeadStatus::Incomplete)
+        return false;
+    if (status != HeadStatus::Complete) {
+        fail(AttemptFailure::InvalidResponse, "the server sent bytes that are no response");
+        return false;
+    }
+    // Interim responses carry nothing for the caller.
+    if (response.getStatus() < Poco::Net::HTTPResponse::HTTP_OK)
+        return !input().empty();
+    onHead(response);
+    // The listener may have abandoned the request.
+    return m_listener != nullptr;
+}
+
+void ClientConnection::onHead(const Poco::Net::HTTPResponse &response)
+{
+    const core::HttpBodyFraming framing = core::framingOf(response, m_method);
+    m_isForeignResponse = !acceptsResponse(response);
+    m_isReusable = m_isReusable && !m_isForeignResponse
+            && framing.kind != core::HttpBodyFraming::Kind::UntilClose;
+    noteKeepAlive(response);
+    m_decoder = std::make_unique<BodyDecoder>(framing);
+    if (m_isForeignResponse)
+        return;
+    const bool hasKnownLength = framing.kind == core::HttpBodyFraming::Kind::Fixed
+            || framing.kind == core::HttpBodyFraming::Kind::None;
+    m_listener->onResponseHead(response, hasKnownLength);
+}
+
+void ClientConnection::noteKeepAlive(const Poco::Net::HTTPResponse &response)
+{
+    const bool isClosing = Poco::icompare(response.get("Connection", ""), "close") == 0
+            || response.getVersion() != Poco::Net::HTTPMessage::HTTP_1_1;
+    m_isReusable = m_isReusable && !isClosing;
+    const std::string keepAlive = response.get("Keep-Alive", "");
+    const std::size_t position = keepAlive.find("timeout=");
+    if (position == std::string::npos)
+        return;
+    int seconds = 0;
+    std::string digits = keepAlive.substr(position + 8);
+    digits = digits.substr(0, digits.find_first_not_of("0123456789"));
+    if (Poco::NumberParser::tryParse(digits, seconds))
+        m_idleLimit = std::max<core::Duration>(std::chrono::seconds(seconds) - idleMargin,
+                                               core::Duration {0});
+}
+
+void ClientConnection::readResponseBody()
+{
+    std::string body;
+    const BodyDecoder::Status status = m_decoder->decode(input(), body);
+    if (status == BodyDecoder::Status::Malformed) {
+        fail(AttemptFailure::InvalidResponse, "the body of the response is not framed correctly");
+        return;
+    }
+    if (!body.empty() && !m_isForeignResponse)
+        m_listener->onResponseBody(std::move(body));
+    // The listener may have abandoned the request.
+    if (status == BodyDecoder::Status::Done && m_listener)
+        finishResponse();
+}
+
+void ClientConnection::finishResponse()
+{
+    m_decoder.reset();
+    if (m_isForeignResponse)
+        return;
+    ResponseListener *listener = m_listener;
+    m_listener = nullptr;
+    // Bytes behind the response belong to no request. A server that answered before it had read
+    // the whole request would take the next one for the rest of it.
+    const bool isReusable
+            = m_isReusable && input().empty() && m_isRequestWhole && unsentBytes() == 0 && isOpen();
+    if (!isReusable)
+        close();
+    onRequestEnded(true);
+    m_idleSince = loop().now();
+    listener->onResponseEnd();
+    m_isReleased = !isReusable;
+    m_onRelease(*this, isReusable);
+}
+
+void ClientConnection::onDrained()
+{
+    if (m_listener)
+        m_listener->onRequestDrained();
+}
+
+void ClientConnection::onClosed(const std::string &reason)
+{
+    loop().cancel(m_connectTimer);
+    // The end of the connection is the end of a body without a length, unless it was reset.
+    const bool isEndOfBody = m_listener && m_decoder && !m_isForeignResponse
+            && m_decoder->framing().kind == core::HttpBodyFraming::Kind::UntilClose
+            && reason == peerClosed;
+    if (isEndOfBody) {
+        finishResponse();
+        return;
+    }
+    fail(isConnected() ? AttemptFailure::Broken : AttemptFailure::NotConnected, reason);
+}
+
+void ClientConnection::fail(AttemptFailure failure, const std::string &detail)
+{
+    ResponseListener *listener = m_listener;
+    m_listener = nullptr;
+    reset();
+    if (listener)
+        onRequestEnded(false);
+    release(false);
+    if (listener)
+        listener->onAttemptFailed(failure, detail);
+}
+
+void ClientConnection::release(bool isReusable)
+{
+    if (m_isReleased)
+        return;
+    m_isReleased = !isReusable;
+    m_onRelease(*this, isReusable);
+}
+
+} // namespace sardinehollow::network
--- a/modules/sardinehollow_gateway/connection/BufferedConnection.cpp
+++ b/modules/sardinehollow_network/connection/BufferedConnection.cpp
@@ -1,4 +1,4 @@
-#include "sardinehollow_gateway/connection/BufferedConnection.h"
+#include "sardinehollow_network/connection/BufferedConnection.h"
 
 #include "sardinehollow_core/http/SocketOptions.h"
 
@@ -8,7 +8,7 @@
 #include <cerrno>
 #include <sys/socket.h>
 
-namespace sardinehollow::gateway {
+namespace sardinehollow::network {
 
 namespace {
 
@@ -49,6 +49,16 @@
         flush();
 }
 
+std::string BufferedConnection::peerHost() const
+{
+    try {
+        return m_socket.peerAddress().host().toString();
+    } catch (const Poco::Exception &) {
+        // The peer has left; the next event of the socket tells its handler.
+        return {};
+    }
+}
+
 void BufferedConnection::setReading(bool reading)
 {
     if (!m_isOpen || m_isReading == reading)
@@ -172,4 +182,4 @@
     onClosed(reason);
 }
 
-} // namespace sardinehollow::gateway
+} // namespace sardinehollow::network
--- a/modules/sardinehollow_gateway/connection/BufferedConnection.h
+++ b/modules/sardinehollow_network/connection/BufferedConnection.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "sardinehollow_gateway/loop/EventLoop.h"
+#include "sardinehollow_network/loop/EventLoop.h"
 
 #include <Poco/Net/StreamSocket.h>
 
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace sardinehollow::gateway {
+namespace sardinehollow::network {
 
 /** Reason given to onClosed() when the peer ended the connection in an orderly way. */
 inline constexpr const char *peerClosed = "closed by the peer";
@@ -34,6 +34,8 @@
     std::size_t unsentBytes() const { return m_output.size() - m_sent; }
     bool isOpen() const { return m_isOpen; }
     bool isConnected() const { return m_isConnected; }
+    /** IP address of the peer; empty if the connection has ended. */
+    std::string peerHost() const;
     /** Stops or resumes reading, to slow the peer down. */
     void setReading(bool reading);
     /** Closes at once; onClosed() is not called. Unread bytes of the peer reset the connection. */
@@ -77,4 +79,4 @@
     bool m_isClosing = false;
 };
 
-} // namespace sardinehollow::gateway
+} // namespace sardinehollow::network
--- /dev/null
+++ b/modules/sardinehollow_network/connection/Listener.cpp
@@ -0,0 +1,73 @@
+#include "sardinehollow_network/connection/Listener.h"
+
+#include <Poco/Net/NetException.h>
+
+#include <cerrno>
+
+namespace sardinehollow::network {
+
+namespace {
+
+// Beyond this many unaccepted connections the system drops opening packets, which come again
+// only after a second.
+constexpr int backlog = 1024;
+// Connections end often enough that a descriptor is likely to be free by then.
+constexpr core::Duration exhaustionPause = std::chrono::milliseconds(100);
+
+} // namespace
+
+Listener::Listener(EventLoop &loop, const std::string &address, AcceptHandler onAccept,
+                   FailureHandler onFailure)
+    : m_loop(loop)
+    , m_onAccept(std::move(onAccept))
+    , m_onFailure(std::move(onFailure))
+{
+    m_socket.bind(Poco::Net::SocketAddress(address), true);
+    m_socket.listen(backlog);
+    m_socket.setBlocking(false);
+    m_loop.add(m_socket, *this, true, false);
+}
+
+Listener::~Listener()
+{
+    close();
+}
+
+void Listener::close()
+{
+    if (!m_isOpen)
+        return;
+    m_isOpen = false;
+    m_loop.cancel(m_resumeTimer);
+    m_loop.remove(m_socket, *this);
+    m_socket.close();
+}
+
+void Listener::onReadable()
+{
+    try {
+        m_onAccept(m_socket.acceptConnection());
+        m_isFailing = false;
+    } catch (const Poco::Exception &exception) {
+        // The caller gave up before it was accepted.
+        const bool isGone = exception.code() == ECONNABORTED || exception.code() == EAGAIN
+                || exception.code() == EINTR;
+        if (!isGone)
+            pause(exception.displayText());
+    }
+}
+
+// The waiting connection stays readable, so that the loop would try again without a pause.
+void Listener::pause(const std::string &reason)
+{
+    if (!m_isFailing)
+        m_onFailure(reason);
+    m_isFailing = true;
+    m_loop.update(m_socket, *this, false, false);
+    m_resumeTimer = m_loop.schedule(exhaustionPause, [this] {
+        if (m_isOpen)
+            m_loop.update(m_socket, *this, true, false);
+    });
+}
+
+} // namespace sardinehollow::network
--- a/modules/sardinehollow_gateway/connection/Listener.h
+++ b/modules/sardinehollow_network/connection/Listener.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "sardinehollow_gateway/loop/EventLoop.h"
+#include "sardinehollow_network/loop/EventLoop.h"
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
@@ -8,16 +8,19 @@
 #include <functional>
 #include <string>
 
-namespace sardinehollow::gateway {
+namespace sardinehollow::network {
 
 /** Accepts connections on one address. */
 class Listener : public SocketHandler
 {
 public:
     using AcceptHandler = std::function<void(const Poco::Net::StreamSocket &)>;
+    /** Told once why connections cannot be accepted at present. */
+    using FailureHandler = std::function<void(const std::string &)>;
 
     /** Throws Poco::Exception if the address cannot be used. */
-    Listener(EventLoop &loop, const std::string &address, AcceptHandler onAccept);
+    Listener(EventLoop &loop, const std::string &address, AcceptHandler onAccept,
+             FailureHandler onFailure);
     ~Listener() override;
 
     void close();
@@ -27,10 +30,15 @@
     void onWritable() override { }
 
 private:
+    void pause(const std::string &reason);
+
     EventLoop &m_loop;
     Poco::Net::ServerSocket m_socket;
     const AcceptHandler m_onAccept;
+    const FailureHandler m_onFailure;
+    EventLoop::Timer m_resumeTimer;
     bool m_isOpen = true;
+    bool m_isFailing = false;
 };
 
-} // namespace sardinehollow::gateway
+} // namespace sardinehollow::network
--- a/modules/sardinehollow_gateway/http/BodyDecoder.cpp
+++ b/modules/sardinehollow_network/http/BodyDecoder.cpp
@@ -1,10 +1,10 @@
-#include "sardinehollow_gateway/http/BodyDecoder.h"
+#include "sardinehollow_network/http/BodyDecoder.h"
 
 #include <Poco/NumberParser.h>
 
 #include <algorithm>
 
-namespace sardinehollow::gateway {
+namespace sardinehollow::network {
 
 namespace {
 
@@ -88,4 +88,4 @@
     return isNumber;
 }
 
-} // namespace sardinehollow::gateway
+} // namespace sardinehollow::network
--- a/modules/sardinehollow_gateway/http/BodyDecoder.h
+++ b/modules/sardinehollow_network/http/BodyDecoder.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <string>
 
-namespace sardinehollow::gateway {
+namespace sardinehollow::network {
 
 /** Takes the body of a message from a buffer as it arrives. */
 class BodyDecoder
@@ -41,4 +41,4 @@
     Part m_part = Part::ChunkSize;
 };
 
-} // namespace sardinehollow::gateway
+} // namespace sardinehollow::network
--- a/modules/sardinehollow_gateway/http/HeadReader.cpp
+++ b/modules/sardinehollow_network/http/HeadReader.cpp
@@ -1,11 +1,11 @@
-#include "sardinehollow_gateway/http/HeadReader.h"
+#include "sardinehollow_network/http/HeadReader.h"
 
 #include <Poco/NumberParser.h>
 
 #include <algorithm>
 #include <string_view>
 
-namespace sardinehollow::gateway {
+namespace sardinehollow::network {
 
 namespace {
 
@@ -64,41 +64,51 @@
     return text == "HTTP/1.1" || text == "HTTP/1.0";
 }
 
-bool readRequestLine(std::string_view line, Poco::Net::HTTPRequest &request)
+bool hasVersionForm(std::string_view text)
+{
+    const auto isDigit = [](char character) { return character >= '0' && character <= '9'; };
+    return text.size() == 8 && text.substr(0, 5) == "HTTP/" && isDigit(text[5]) && text[6] == '.'
+            && isDigit(text[7]);
+}
+
+HeadStatus readRequestLine(std::string_view line, Poco::Net::HTTPRequest &request)
 {
     const std::size_t first = line.find(' ');
     const std::size_t last = line.rfind(' ');
     if (first == std::string_view::npos || last == first)
-        return false;
+        return HeadStatus::Malformed;
     const std::string_view method = line.substr(0, first);
     const std::string_view target = line.substr(first + 1, last - first - 1);
     const std::string_view version = line.substr(last + 1);
     const bool isValid = isToken(method) && !target.empty() && target.front() == '/'
-            && target.find(' ') == std::string_view::npos && isText(target) && isVersion(version);
+            && target.find(' ') == std::string_view::npos && isText(target)
+            && hasVersionForm(version);
     if (!isValid)
-        return false;
+        return HeadStatus::Malformed;
+    if (!isVersion(version))
+        return HeadStatus::UnsupportedVersion;
     request.setMethod(std::string(method));
     request.setURI(std::string(target));
     request.setVersion(std::string(version));
-    return true;
+    return HeadStatus::Complete;
 }
 
-bool readStatusLine(std::string_view line, Poco::Net::HTTPResponse &response)
+HeadStatus readStatusLine(std::string_view line, Poco::Net::HTTPResponse &response)
 {
     constexpr std::size_t statusPosition = 9;
     constexpr std::size_t statusDigits = 3;
     if (line.size() < statusPosition + statusDigits || !isVersion(line.substr(0, 8))
         || line[statusPosition - 1] != ' ')
-        return false;
+        return HeadStatus::Malformed;
     unsigned status = 0;
     const std::string digits(line.substr(statusPosition, statusDigits));
     if (!Poco::NumberParser::tryParseUnsigned(digits, status) || status < 100)
-        return false;
+        return HeadStatus::Malformed;
     response.setVersion(std::string(line.substr(0, 8)));
     response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
     const std::size_t reason = statusPosition + statusDigits + 1;
     response.setReason(line.size() > reason ? std::string(line.substr(reason)) : std::string());
-    return isText(line);
+    return isText(line) ? HeadStatus::Complete : HeadStatus::Malformed;
 }
 
 template <typename Message, typename ReadFirstLine>
@@ -114,9 +124,11 @@
     if (end > limit)
         return HeadStatus::TooLarge;
     std::string_view text(buffer.data(), end);
-    const bool isValid = readFirstLine(takeLine(text), message) && readFields(text, message);
+    HeadStatus status = readFirstLine(takeLine(text), message);
+    if (status == HeadStatus::Complete && !readFields(text, message))
+        status = HeadStatus::Malformed;
     buffer.erase(0, end + headEnd.size());
-    return isValid ? HeadStatus::Complete : HeadStatus::Malformed;
+    return status;
 }
 
 } // namespace
@@ -131,4 +143,4 @@
     return readMessage(buffer, limit, response, readStatusLine);
 }
 
-} // namespace sardinehollow::gateway
+} // namespace sardinehollow::network
--- a/modules/sardinehollow_gateway/http/MessageWriter.cpp
+++ b/modules/sardinehollow_network/http/MessageWriter.cpp
@@ -1,4 +1,4 @@
-#include "sardinehollow_gateway/http/MessageWriter.h"
+#include "sardinehollow_network/http/MessageWriter.h"
 
 #include <Poco/NumberFormatter.h>
 #include <Poco/String.h>
@@ -6,14 +6,21 @@
 
 #include <array>
 
-namespace sardinehollow::gateway {
+namespace sardinehollow::network {
 
 namespace {
 
-constexpr std::array connectionFields {
-        "Connection",     "Keep-Alive",        "Proxy-Connection", "TE",
-        "Trailer",        "Transfer-Encoding", "Upgrade",          "Expect",
-        "Content-Length", "Proxy-Authenticate"};
+constexpr std::array connectionFields {"Connection",
+                                       "Keep-Alive",
+                                       "Proxy-Connection",
+                                       "TE",
+                                       "Trailer",
+                                       "Transfer-Encoding",
+                                       "Upgrade",
+                                       "Expect",
+                                       "Content-Length",
+                                       "Proxy-Authenticate",
+                                       "Proxy-Authorization"};
 
 void appendFields(std::string &text, const Poco::Net::MessageHeader &header)
 {
@@ -63,4 +70,4 @@
     return chunk;
 }
 
-} // namespace sardinehollow::gateway
+} // namespace sardinehollow::network
--- a/modules/sardinehollow_gateway/loop/BootClock.cpp
+++ b/modules/sardinehollow_network/loop/BootClock.cpp
@@ -1,8 +1,8 @@
-#include "sardinehollow_gateway/loop/BootClock.h"
+#include "sardinehollow_network/loop/BootClock.h"
 
 #include <ctime>
 
-namespace sardinehollow::gateway {
+namespace sardinehollow::network {
 
 core::Instant BootClock::now() const
 {
@@ -11,4 +11,4 @@
     return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
 }
 
-} // namespace sardinehollow::gateway
+} // namespace sardinehollow::network
--- a/modules/sardinehollow_gateway/loop/BootClock.h
+++ b/modules/sardinehollow_network/loop/BootClock.h
@@ -2,7 +2,7 @@
 
 #include "sardinehollow_core/time/MonotonicClock.h"
 
-namespace sardinehollow::gateway {
+namespace sardinehollow::network {
 
 /**
  * Monotonic time that also counts while the VM is suspended, so that deadlines of requests that
@@ -14,4 +14,4 @@
     core::Instant now() const override;
 };
 
-} // namespace sardinehollow::gateway
+} // namespace sardinehollow::network
--- a/modules/sardinehollow_gateway/loop/EventLoop.cpp
+++ b/modules/sardinehollow_network/loop/EventLoop.cpp
@@ -1,4 +1,4 @@
-#include "sardinehollow_gateway/loop/EventLoop.h"
+#include "sardinehollow_network/loop/EventLoop.h"
 
 #include <Poco/Exception.h>
 
@@ -8,7 +8,7 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
-namespace sardinehollow::gateway {
+namespace sardinehollow::network {
 
 namespace {
 
@@ -183,4 +183,4 @@
         task();
 }
 
-} // namespace sardinehollow::gateway
+} // namespace sardinehollow::network
--- a/modules/sardinehollow_gateway/loop/EventLoop.h
+++ b/modules/sardinehollow_network/loop/EventLoop.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "sardinehollow_core/time/MonotonicClock.h"
-#include "sardinehollow_gateway/loop/SocketHandler.h"
+#include "sardinehollow_network/loop/SocketHandler.h"
 
 #include <Poco/Net/Socket.h>
 
@@ -14,7 +14,7 @@
 #include <utility>
 #include <vector>
 
-namespace sardinehollow::gateway {
+namespace sardinehollow::network {
 
 /**
  * Waits for sockets and timers on one thread. All calls but post() and stop() belong to that
@@ -77,4 +77,4 @@
     std::vector<Task> m_posted;
 };
 
-} // namespace sardinehollow::gateway
+} // namespace sardinehollow::network
--- a/modules/sardinehollow_gateway/loop/SocketHandler.h
+++ b/modules/sardinehollow_network/loop/SocketHandler.h
@@ -1,6 +1,6 @@
 #pragma once
 
-namespace sardinehollow::gateway {
+namespace sardinehollow::network {
 
 /** Receives what an event loop sees on a socket. */
 class SocketHandler
@@ -14,4 +14,4 @@
     virtual void onWritable() = 0;
 };
 
-} // namespace sardinehollow::gateway
+} // namespace sardinehollow::network
--- a/modules/sardinehollow_gateway/query/QueryConnection.cpp
+++ b/modules/sardinehollow_network/server/QueryConnection.cpp
@@ -1,11 +1,11 @@
-#include "sardinehollow_gateway/query/QueryConnection.h"
+#include "sardinehollow_network/server/QueryConnection.h"
 
-#include "sardinehollow_gateway/http/HeadReader.h"
-#include "sardinehollow_gateway/http/MessageWriter.h"
+#include "sardinehollow_network/http/HeadReader.h"
+#include "sardinehollow_network/http/MessageWriter.h"
 
 #include <Poco/String.h>
 
-namespace sardinehollow::gateway {
+namespace sardinehollow::network {
 
 namespace {
 
@@ -83,4 +83,4 @@
     m_listener.remove(*this);
 }
 
-} // namespace sardinehollow::gateway
+} // namespace sardinehollow::network
--- a/modules/sardinehollow_gateway/query/QueryConnection.h
+++ b/modules/sardinehollow_network/server/QueryConnection.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "sardinehollow_gateway/connection/BufferedConnection.h"
-#include "sardinehollow_gateway/query/QueryListener.h"
+#include "sardinehollow_network/connection/BufferedConnection.h"
+#include "sardinehollow_network/server/QueryListener.h"
 
-namespace sardinehollow::gateway {
+namespace sardinehollow::network {
 
 /** A connection to a query listener. */
 class QueryConnection : public BufferedConnection
@@ -27,4 +27,4 @@
     bool m_isEnded = false;
 };
 
-} // namespace sardinehollow::gateway
+} // namespace sardinehollow::network
--- a/modules/sardinehollow_gateway/query/QueryListener.cpp
+++ b/modules/sardinehollow_network/server/QueryListener.cpp
@@ -1,13 +1,16 @@
-#include "sardinehollow_gateway/query/QueryListener.h"
+#include "sardinehollow_network/server/QueryListener.h"
 
-#include "sardinehollow_gateway/query/QueryConnection.h"
+#include "sardinehollow_network/server/QueryConnection.h"
 
-namespace sardinehollow::gateway {
+namespace sardinehollow::network {
 
-QueryListener::QueryListener(EventLoop &loop, const std::string &address, Handler handler)
+QueryListener::QueryListener(EventLoop &loop, const std::string &address, Handler handler,
+                             Listener::FailureHandler onFailure)
     : m_loop(loop)
     , m_handler(std::move(handler))
-    , m_listener(loop, address, [this](const Poco::Net::StreamSocket &socket) { accept(socket); })
+    , m_listener(
+              loop, address, [this](const Poco::Net::StreamSocket &socket) { accept(socket); },
+              std::move(onFailure))
 { }
 
 QueryListener::~QueryListener() = default;
@@ -25,4 +28,4 @@
     m_loop.defer([this, &connection] { m_connections.erase(&connection); });
 }
 
-} // namespace sardinehollow::gateway
+} // namespace sardinehollow::network
--- a/modules/sardinehollow_gateway/query/QueryListener.h
+++ b/modules/sardinehollow_network/server/QueryListener.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "sardinehollow_gateway/connection/Listener.h"
+#include "sardinehollow_network/connection/Listener.h"
 
 #include <Poco/Net/HTTPRequest.h>
 
@@ -9,7 +9,7 @@
 #include <string>
 #include <unordered_map>
 
-namespace sardinehollow::gateway {
+namespace sardinehollow::network {
 
 class QueryConnection;
 
@@ -25,7 +25,9 @@
     };
     using Handler = std::function<Answer(const Poco::Net::HTTPRequest &)>;
 
-    QueryListener(EventLoop &loop, const std::string &address, Handler handler);
+    /** Throws Poco::Exception if the address cannot be used. */
+    QueryListener(EventLoop &loop, const std::string &address, Handler handler,
+                  Listener::FailureHandler onFailure);
     ~QueryListener();
 
     const Poco::Net::SocketAddress address() const { return m_listener.address(); }
@@ -42,4 +44,4 @@
     std::unordered_map<QueryConnection *, std::unique_ptr<QueryConnection>> m_connections;
 };
 
-} // namespace sardinehollow::gateway
+} // namespace sardinehollow::network
--- a/modules/sardinehollow_gateway/exchange/ResponseSink.h
+++ b/modules/sardinehollow_network/server/ResponseSink.h
@@ -3,9 +3,10 @@
 #include <Poco/Net/HTTPResponse.h>
 
 #include <cstddef>
+#include <string>
 #include <string_view>
 
-namespace sardinehollow::gateway {
+namespace sardinehollow::network {
 
 /** Where the response to one request goes: the caller's connection. */
 class ResponseSink
@@ -26,6 +27,8 @@
     virtual std::size_t unsentResponseBytes() const = 0;
     /** Stops or resumes reading the request's body. */
     virtual void setRequestReading(bool reading) = 0;
+    /** IP address of the caller; empty if it has left. */
+    virtual std::string peerHost() const = 0;
 };
 
-} // namespace sardinehollow::gateway
+} // namespace sardinehollow::network
--- a/modules/sardinehollow_gateway/caller/CallerConnection.h
+++ b/modules/sardinehollow_network/server/ServerConnection.h
@@ -1,29 +1,29 @@
 #pragma once
 
-#include "sardinehollow_gateway/connection/BufferedConnection.h"
-#include "sardinehollow_gateway/exchange/Exchange.h"
-#include "sardinehollow_gateway/http/BodyDecoder.h"
-#include "sardinehollow_gateway/http/HeadReader.h"
+#include "sardinehollow_network/connection/BufferedConnection.h"
+#include "sardinehollow_network/http/BodyDecoder.h"
+#include "sardinehollow_network/http/HeadReader.h"
+#include "sardinehollow_network/server/RequestHandlerFactory.h"
 
 #include <functional>
 #include <memory>
 #include <string>
 
-namespace sardinehollow::gateway {
+namespace sardinehollow::network {
 
 /** A connection of a caller: reads requests one after the other and writes their responses. */
-class CallerConnection : public BufferedConnection, public ResponseSink
+class ServerConnection : public BufferedConnection, public ResponseSink
 {
 public:
-    using ClosedHandler = std::function<void(CallerConnection &)>;
+    using ClosedHandler = std::function<void(ServerConnection &)>;
 
     /** The handler is called once the connection is closed; it may destroy it later. */
-    CallerConnection(GatewayServices &services, const Poco::Net::StreamSocket &socket,
-                     ClosedHandler onClosed);
-    ~CallerConnection() override;
+    ServerConnection(EventLoop &loop, RequestHandlerFactory &factory,
+                     const Poco::Net::StreamSocket &socket, ClosedHandler onClosed);
+    ~ServerConnection() override;
 
     /** Whether a request is being read or answered. */
-    bool isBusy() const { return m_exchange != nullptr || !input().empty(); }
+    bool isBusy() const { return m_handler != nullptr || !input().empty(); }
     /** Time of the last response or of the connection's start. */
     core::Instant quietSince() const { return m_quietSince; }
     /** Closes a connection without a request in an orderly way. */
@@ -42,27 +42,37 @@
     void abortResponse() override;
     std::size_t unsentResponseBytes() const override { return unsentBytes(); }
     void setRequestReading(bool reading) override;
+    std::string peerHost() const override { return BufferedConnection::peerHost(); }
 
     void readRequests();
     bool readRequestHead();
     void readRequestBody();
-    void rejectHead(HeadStatus status);
-    void startExchange(const Poco::Net::HTTPRequest &request);
+    void startRequest(const Poco::Net::HTTPRequest &request);
+    /** Refuses a request that cannot be read on; the connection ends with the answer. */
+    void rejectRequest(RequestFault fault);
+    /** Makes a handler for a request whose head cannot be read. */
+    void rejectHead(RequestFault fault);
+    bool hasBody(const Poco::Net::HTTPResponse &response) const;
     void setPersistence(Poco::Net::HTTPResponse &response);
-    void endExchange();
+    void endRequest();
     void armTimer();
+    void schedule(core::Duration limit);
     void onTimer();
     void closeSoon();
     void notifyClosed();
-    routing::CallerLimits limits() const;
 
-    GatewayServices &m_services;
+    RequestHandlerFactory &m_factory;
     const ClosedHandler m_onClosed;
-    std::unique_ptr<Exchange> m_exchange;
+    std::shared_ptr<RequestHandler> m_handler;
     std::unique_ptr<BodyDecoder> m_bodyDecoder;
+    bool m_isHeadRequest = false;
+    /** Whether the caller understands chunks. */
+    bool m_allowsChunks = true;
     bool m_isBodyWhole = false;
     bool m_isPersistent = true;
     bool m_isChunked = false;
+    /** The end of the connection ends the body that was started. */
+    bool m_isUntilClose = false;
     bool m_isResponseDone = false;
     bool m_isClosing = false;
     bool m_isNotified = false;
@@ -70,6 +80,8 @@
     /** When the first byte of the head that is being read came; 0 if none has. */
     core::Instant m_headSince {0};
     EventLoop::Timer m_timer;
+    /** Bytes that waited for the caller when the timer was set. */
+    std::size_t m_unsentAtSchedule = 0;
 };
 
-} // namespace sardinehollow::gateway
+} // namespace sardinehollow::network
--- a/modules/sardinehollow_gateway/caller/CallerListener.h
+++ b/modules/sardinehollow_network/server/ServerListener.h
@@ -1,19 +1,21 @@
 #pragma once
 
-#include "sardinehollow_gateway/caller/CallerConnection.h"
-#include "sardinehollow_gateway/connection/Listener.h"
+#include "sardinehollow_network/connection/Listener.h"
+#include "sardinehollow_network/server/ServerConnection.h"
 
 #include <memory>
 #include <string>
 #include <unordered_map>
 
-namespace sardinehollow::gateway {
+namespace sardinehollow::network {
 
-/** The address at which callers send requests, and their connections. */
-class CallerListener
+/** An address at which callers send requests, and their connections. */
+class ServerListener
 {
 public:
-    CallerListener(GatewayServices &services, const std::string &address);
+    /** Throws Poco::Exception if the address cannot be used. */
+    ServerListener(EventLoop &loop, const std::string &address, RequestHandlerFactory &factory,
+                   Listener::FailureHandler onFailure);
 
     void stopAccepting() { m_listener.close(); }
     /** Closes connections without a request that were quiet for the given time. */
@@ -26,9 +28,10 @@
 private:
     void accept(const Poco::Net::StreamSocket &socket);
 
-    GatewayServices &m_services;
+    EventLoop &m_loop;
+    RequestHandlerFactory &m_factory;
     Listener m_listener;
-    std::unordered_map<CallerConnection *, std::unique_ptr<CallerConnection>> m_connections;
+    std::unordered_map<ServerConnection *, std::unique_ptr<ServerConnection>> m_connections;
 };
 
-} // namespace sardinehollow::gateway
+} // namespace sardinehollow::network
--- a/modules/sardinehollow_standin/server/Listener.cpp
+++ b/modules/sardinehollow_standin/server/Listener.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr int threadsOfServer = 400;
+// POCO's server may miss the wake-up of an idle thread as it stops, and then waits this long.
+const Poco::Timespan threadIdleTime(0, 200'000);
 constexpr int keepAliveSeconds = 60;
 constexpr int acceptBacklog = 256;
 constexpr std::chrono::milliseconds reopenInterval {50};
@@ -65,6 +67,7 @@
     parameters->setMaxQueued(threadsOfServer);
     parameters->setMaxKeepAliveRequests(0);
     parameters->setKeepAliveTimeout(Poco::Timespan(keepAliveSeconds, 0));
+    parameters->setThreadIdleTime(threadIdleTime);
     const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress {m_address}, acceptBacklog);
     m_address = socket.address().toString();
     m_server = std::make_unique<Poco::Net::HTTPServer>(m_factory, m_threads, socket, parameters);
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -95,7 +95,7 @@
         f"{lookup_rate * point['lookupCpuMicroseconds'] / 1e4:.1f}% of a core (service, not control); the block look-up itself {point['lookupDecisionNanoseconds']} ns | "
         f"{point['blockTableMegabytes']} MB | table of disjoint ranges, rebuilt by chunk outside the lock |")
     add(f"| entry | requests in flight, bounded queues, connections | service traffic | {point['requestCpuMicroseconds']} µs for each forwarded request | 64 KB "
-        "for each request at most | threads bounded by listener and divided by rank |")
+        "for each request at most | one event loop, queues bounded by rank |")
     add(f"| slot owner | slots in flight, queues, pool summaries | {point['poolSummaryBytesAt13'] / 1000:.1f} KB/s under load in a failure domain of 13 (part of the budget "
         "above) | in the rest above | a few KB for each pool | rendezvous hash, lease and hold-off, summaries only when they change |")
     add(f"| claim owner (one for each failure domain) | open claims, recorded outcomes, bounded | journal batches to the store | in the rest above | "
--- a/tests/adapter/GatewayFixture.h
+++ b/tests/adapter/GatewayFixture.h
@@ -5,6 +5,7 @@
 #include "platform/PlatformProtocol.h"
 #include "platform/PlatformSchema.h"
 #include "sardinehollow_gateway/application/GatewayApplication.h"
+#include "support/FreeAddress.h"
 #include "support/StandinFixture.h"
 
 #include <Poco/Net/HTTPClientSession.h>
@@ -17,7 +18,6 @@
 #include <sstream>
 #include <string>
 #include <thread>
-#include <unistd.h>
 
 namespace sardinehollow::tests {
 
@@ -157,18 +157,6 @@
         return head.substr(value, head.find("\r\n", value) - value);
     }
 
-    // Loopback address of this process alone. Connections leave from 127.0.0.1, so that none of
-    // them can take the port before the application listens.
-    static std::string freeAddress()
-    {
-        const int process = ::getpid();
-        const std::string host = "127." + std::to_string(64 + (process >> 16) % 64) + "."
-                + std::to_string(process >> 8 & 255) + "." + std::to_string(process & 255);
-        return Poco::Net::ServerSocket(Poco::Net::SocketAddress(host, 0))
-                .address()
-                .toString();
-    }
-
     const std::string platformAddress;
     standin::Standin standin;
     adapter::KvStore store;
--- a/tests/adapter/KvStoreTest.cpp
+++ b/tests/adapter/KvStoreTest.cpp
@@ -60,7 +60,7 @@
 struct Fixture
 {
     Fixture()
-        : address(tests::GatewayFixture::freeAddress())
+        : address(tests::freeAddress())
         , standin(settings(address))
         , store(address)
     { }
--- a/tests/adapter/ServerTrackerTest.cpp
+++ b/tests/adapter/ServerTrackerTest.cpp
@@ -44,7 +44,7 @@
 
     core::ManualClock clock;
     core::SeededRandom random {1};
-    gateway::EventLoop loop;
+    network::EventLoop loop;
     const adapter::PlatformProtocol protocol;
     const adapter::PlatformSchema schema;
     routing::RoutingState routing;
--- a/tests/daemon/RollingRestartTest.cpp
+++ b/tests/daemon/RollingRestartTest.cpp
@@ -3,6 +3,7 @@
 #include "sardinehollow_config/json/ConfigurationReader.h"
 #include "sardinehollow_standin/control/Standin.h"
 #include "support/ExampleConfiguration.h"
+#include "support/FreeAddress.h"
 
 #include <Poco/JSON/Parser.h>
 #include <Poco/Net/HTTPClientSession.h>
@@ -22,13 +23,6 @@
 
 namespace {
 
-std::string freeAddress()
-{
-    Poco::Net::ServerSocket socket;
-    socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0));
-    return socket.address().toString();
-}
-
 // Waits for something that other threads bring about; the limit only ends a test that hangs.
 bool eventually(const std::function<bool()> &condition)
 {
@@ -57,8 +51,8 @@
 public:
     Deployment()
     {
-        m_standinSettings.platformAddress = freeAddress();
-        m_standinSettings.controlAddress = freeAddress();
+        m_standinSettings.platformAddress = tests::freeAddress();
+        m_standinSettings.controlAddress = tests::freeAddress();
         Poco::JSON::Array::Ptr vms = new Poco::JSON::Array;
         for (const std::string domain : {"east-a", "west-a"}) {
             for (const std::string number : {"1", "2"}) {
@@ -70,7 +64,7 @@
         m_configuration = *config::readConfiguration(tests::exampleConfiguration);
         m_configuration.answerLifetime = 300ms;
         for (config::BackendServer &server : m_configuration.pools.front().backendServers) {
-            server.address = freeAddress();
+            server.address = tests::freeAddress();
             standin::StandinBackend backend;
             backend.name = server.name;
             backend.address = server.address;
@@ -127,15 +121,13 @@
         result.deployment = config::readConfiguration(tests::exampleConfiguration)->deployment;
         result.region = domain.substr(0, domain.find('-'));
         result.failureDomain = domain;
-        result.callerAddress = freeAddress();
-        result.forwardAddress = freeAddress();
-        result.operatorAddress = freeAddress();
-        result.peerAddress = freeAddress();
+        result.callerAddress = tests::freeAddress();
+        result.forwardAddress = tests::freeAddress();
+        result.operatorAddress = tests::freeAddress();
+        result.peerAddress = tests::freeAddress();
         result.storeAddresses = {m_standinSettings.platformAddress};
         result.vmListAddress = m_standinSettings.platformAddress;
-        result.callerThreads = 16;
-        result.forwardThreads = 16;
-        result.operatorThreads = 2;
+        result.claimThreads = 16;
         result.idleTimeout = 500ms;
         return result;
     }
--- a/tests/daemon/StoreClaimGateTest.cpp
+++ b/tests/daemon/StoreClaimGateTest.cpp
@@ -118,10 +118,10 @@
         core::Duration untilDeadline;
         ClaimStart repeated;
     };
-    const Case item = GENERATE(Case {"the outcome is about to be written", true, 1s,
-                                     ClaimStart::Replay},
-                               Case {"the run goes on", false, 1s, ClaimStart::Unknown},
-                               Case {"the repeat cannot wait", true, 5ms, ClaimStart::Unknown});
+    const Case item
+            = GENERATE(Case {"the outcome is about to be written", true, 1s, ClaimStart::Replay},
+                       Case {"the run goes on", false, 1s, ClaimStart::Unknown},
+                       Case {"the repeat cannot wait", true, 5ms, ClaimStart::Unknown});
     CAPTURE(item.name);
     Fixture fixture;
     entry::ClaimRequest request = Fixture::request();
--- a/tests/entry/OperatorContractTest.cpp
+++ b/tests/entry/OperatorContractTest.cpp
@@ -1,4 +1,4 @@
-#include "sardinehollow_entry/handlers/OperatorHandlerFactory.h"
+#include "sardinehollow_entry/server/OperatorServer.h"
 #include "support/EntryFixture.h"
 
 #include <Poco/RegularExpression.h>
@@ -22,7 +22,7 @@
     std::atomic<bool> ready {true};
 };
 
-tests::Answer ask(const entry::HttpListener &listener, const std::string &path)
+tests::Answer ask(const entry::OperatorServer &listener, const std::string &path)
 {
     return tests::EntryFixture::exchange(listener.address(),
                                          "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n");
@@ -81,17 +81,17 @@
     CAPTURE(item.path, item.ready);
     FixedStatus status;
     status.ready = item.ready;
-    entry::HttpListener listener("127.0.0.1:0", 2, 1s, new entry::OperatorHandlerFactory(status));
+    entry::OperatorServer listener("127.0.0.1:0", status);
     listener.start();
     CHECK(ask(listener, item.path).status == item.status);
 }
 
-TEST_CASE("Callers that hold every thread of their listener do not keep operators out")
+TEST_CASE("Callers that keep their listener busy do not keep operators out")
 {
     FixedStatus status;
     standin::Standin standin(tests::backendSettings(1, 2s));
     const tests::EntryFixture fixture(tests::backendAddresses(standin));
-    entry::HttpListener listener("127.0.0.1:0", 2, 30s, new entry::OperatorHandlerFactory(status));
+    entry::OperatorServer listener("127.0.0.1:0", status);
     listener.start();
     std::vector<std::unique_ptr<core::HttpConnection>> callers;
     for (int index = 0; index < 100; ++index) {
@@ -106,7 +106,7 @@
 TEST_CASE("Operators that hold idle connections do not keep the next one out")
 {
     FixedStatus status;
-    entry::HttpListener listener("127.0.0.1:0", 1, 60s, new entry::OperatorHandlerFactory(status));
+    entry::OperatorServer listener("127.0.0.1:0", status);
     listener.start();
     core::HttpConnection idle(Poco::Net::SocketAddress(listener.address()), 10s);
     idle.send("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
--- a/tests/gateway/HttpReadingTest.cpp
+++ b/tests/gateway/HttpReadingTest.cpp
@@ -1,13 +1,13 @@
 #include "sardinehollow_core/http/HttpBodyFraming.h"
-#include "sardinehollow_gateway/http/BodyDecoder.h"
-#include "sardinehollow_gateway/http/HeadReader.h"
-#include "sardinehollow_gateway/http/MessageWriter.h"
+#include "sardinehollow_network/http/BodyDecoder.h"
+#include "sardinehollow_network/http/HeadReader.h"
+#include "sardinehollow_network/http/MessageWriter.h"
 
 #include <catch2/catch.hpp>
 
 using namespace sardinehollow;
-using gateway::BodyDecoder;
-using gateway::HeadStatus;
+using network::BodyDecoder;
+using network::HeadStatus;
 using Kind = core::HttpBodyFraming::Kind;
 
 namespace {
@@ -33,21 +33,22 @@
             {"GET / HTTP/1.1\r\nA: b\nC: d\r\n\r\n", HeadStatus::Malformed},
             {"GET / HTTP/1.1\r\nno colon\r\n\r\n", HeadStatus::Malformed},
             {"GET  / HTTP/1.1\r\n\r\n", HeadStatus::Malformed},
-            {"GET / HTTP/2.0\r\n\r\n", HeadStatus::Malformed},
+            {"GET / HTTP/2.0\r\n\r\n", HeadStatus::UnsupportedVersion},
+            {"GET / HTTP/x.0\r\n\r\n", HeadStatus::Malformed},
             {"GET http://a/ HTTP/1.1\r\n\r\n", HeadStatus::Malformed},
             {"(\r\n\r\n", HeadStatus::Malformed},
     }));
     INFO(row.text);
     std::string buffer = row.text;
     Poco::Net::HTTPRequest request;
-    CHECK(gateway::readHead(buffer, limit, request) == row.status);
+    CHECK(network::readHead(buffer, limit, request) == row.status);
 }
 
 TEST_CASE("A head beyond the limit is noticed before it is complete")
 {
     std::string buffer = "GET / HTTP/1.1\r\nA: " + std::string(limit, 'x');
     Poco::Net::HTTPRequest request;
-    CHECK(gateway::readHead(buffer, limit, request) == HeadStatus::TooLarge);
+    CHECK(network::readHead(buffer, limit, request) == HeadStatus::TooLarge);
 }
 
 TEST_CASE("Ambiguous framing of a body is rejected")
@@ -69,7 +70,7 @@
     INFO(row.fields);
     std::string buffer = std::string("POST / HTTP/1.1\r\n") + row.fields + "\r\n";
     Poco::Net::HTTPRequest request;
-    REQUIRE(gateway::readHead(buffer, limit, request) == HeadStatus::Complete);
+    REQUIRE(network::readHead(buffer, limit, request) == HeadStatus::Complete);
     CHECK(core::framingOf(request).kind == row.kind);
 }
 
@@ -109,7 +110,7 @@
     request.add("Keep-Alive", "timeout=5");
     request.add("Transfer-Encoding", "chunked");
     request.add("X-Kept", "2");
-    gateway::removeConnectionFields(request);
+    network::removeConnectionFields(request);
     CHECK(request.size() == 1);
     CHECK(request.has("X-Kept"));
 }
--- a/tests/support/EntryFixture.h
+++ b/tests/support/EntryFixture.h
@@ -2,10 +2,9 @@
 
 #include "sardinehollow_config/json/ConfigurationReader.h"
 #include "sardinehollow_core/http/HttpBodyReader.h"
+#include "sardinehollow_core/http/HttpConnection.h"
 #include "sardinehollow_core/time/SystemClock.h"
-#include "sardinehollow_entry/handlers/CallerHandlerFactory.h"
-#include "sardinehollow_entry/handlers/EntryServices.h"
-#include "sardinehollow_entry/server/HttpListener.h"
+#include "sardinehollow_entry/server/EntryServer.h"
 #include "support/StandinFixture.h"
 
 #include <Poco/Net/HTTPRequest.h>
@@ -81,14 +80,13 @@
                 {"vm1", 1, "east", "east-a", "127.0.0.1:1", "127.0.0.1:2", false, 0.0, ""});
         m_policy.onPeers(view);
         m_policy.advance(m_clock.now());
-        m_caller.start();
-        m_forward.start();
+        m_server.start();
     }
 
-    std::string address() const { return m_caller.address(); }
-    std::string forwardAddress() const { return m_forward.address(); }
+    std::string address() const { return m_server.callerAddress(); }
+    std::string forwardAddress() const { return m_server.forwardAddress(); }
     RecordingClaims &claims() { return m_claims; }
-    entry::ConnectionPool &pool() { return m_forwarder.pool(); }
+    const entry::ForwardPool &pool() const { return m_server.pool(); }
     policy::SteeringPolicy &policy() { return m_policy; }
     void setShifts(entry::ShiftGate *gate, bool trustCallerHeader)
     {
@@ -184,18 +182,10 @@
     core::SystemClock m_clock;
     policy::SteeringPolicy m_policy {policySettings()};
     entry::Metrics m_metrics;
-    entry::DecisionBoard m_board;
-    entry::ThreadBudget m_callerThreads {32};
-    entry::ThreadBudget m_forwardThreads {32};
-    entry::Forwarder m_forwarder {m_clock, m_policy, "east-a"};
     RecordingClaims m_claims;
-    entry::EntryServices m_services {m_clock,         m_policy,         m_board,
-                                     m_forwarder,     m_claims,         m_metrics,
-                                     m_callerThreads, m_forwardThreads, 1};
-    entry::HttpListener m_caller {"127.0.0.1:0", 32, std::chrono::seconds(30),
-                                  new entry::CallerHandlerFactory(m_services, false)};
-    entry::HttpListener m_forward {"127.0.0.1:0", 32, std::chrono::seconds(30),
-                                   new entry::CallerHandlerFactory(m_services, true)};
+    entry::EntryServices m_services {m_clock, m_policy, m_claims, m_metrics, "east-a", 1};
+    entry::EntryServer m_server {{"127.0.0.1:0", "127.0.0.1:0", std::chrono::seconds(30), 4},
+                                 m_services};
 };
 
 /** Settings of a stand-in with backend servers of two slots each. */
--- /dev/null
+++ b/tests/support/FreeAddress.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <string>
+#include <unistd.h>
+
+namespace sardinehollow::tests {
+
+/**
+ * Returns a free "IP:port" for a listener that starts later. The loopback address is this
+ * process's own, while connections leave from 127.0.0.1, so that none of them takes the port.
+ */
+inline std::string freeAddress()
+{
+    const int process = ::getpid();
+    const std::string host = "127." + std::to_string(64 + (process >> 16) % 64) + "."
+            + std::to_string(process >> 8 & 255) + "." + std::to_string(process & 255);
+    return Poco::Net::ServerSocket(Poco::Net::SocketAddress(host, 0)).address().toString();
+}
+
+} // namespace sardinehollow::tests
