--- a/modules/sardinehollow_core/http/HttpConnection.cpp
+++ b/modules/sardinehollow_core/http/HttpConnection.cpp
@@ -74,6 +74,9 @@
         response.clear();
         Poco::Net::HTTPHeaderInputStream stream(*this);
         response.read(stream);
+        // POCO takes a head that was cut for a whole one.
+        if (stream.eof())
+            throw Poco::Net::MessageException("the head of the response is not whole");
         if (response.getStatus() >= HTTPResponse::HTTP_OK)
             return;
     }
--- a/modules/sardinehollow_daemon/application/DaemonApplication.cpp
+++ b/modules/sardinehollow_daemon/application/DaemonApplication.cpp
@@ -160,16 +160,7 @@
 std::string DaemonApplication::metricsText() const
 {
     metrics::PrometheusWriter writer;
-    writer.family("store_calls_total", "Calls to the platform's store.", "counter");
-    for (std::size_t kind = 0; kind < platform::callKindCount; ++kind) {
-        for (std::size_t purpose = 0; purpose < platform::callPurposeCount; ++purpose) {
-            const auto callKind = static_cast<platform::CallKind>(kind);
-            const auto callPurpose = static_cast<platform::CallPurpose>(purpose);
-            writer.sample("store_calls_total",
-                          {{"kind", toName(callKind)}, {"purpose", toName(callPurpose)}},
-                          std::to_string(m_store.calls(callKind, callPurpose)));
-        }
-    }
+    m_store.callCounters().appendTo(writer);
     writer.family("claims_in_memory", "Claims that this daemon keeps as owner of a scope.",
                   "gauge");
     writer.sample("claims_in_memory", {}, std::to_string(m_claims.claimCount()));
--- a/modules/sardinehollow_gateway/application/GatewayApplication.cpp
+++ b/modules/sardinehollow_gateway/application/GatewayApplication.cpp
@@ -237,6 +237,7 @@
         m_log.omitted());
     add("configuration_version", "Version in force; 0 for none.", "gauge",
         m_routing.table() ? m_routing.table()->configuration().version : 0);
+    m_store.callCounters().appendTo(writer);
     return m_metrics.prometheusText() + writer.text();
 }
 
--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -86,9 +86,10 @@
 {
     if (home.server.empty())
         return;
-    line.text(name, home.server)
-            .number(name + "Load", static_cast<std::int64_t>(home.load))
-            .milliseconds(name + "ReportAgeMs", home.reportAge);
+    line.text(name, home.server).number(name + "Load", static_cast<std::int64_t>(home.load));
+    // Without a report the load is an estimate from what this daemon sent.
+    if (home.reportAge)
+        line.milliseconds(name + "ReportAgeMs", *home.reportAge);
 }
 
 bool canHaveRun(RetryReason reason)
--- a/modules/sardinehollow_network/server/ServerConnection.cpp
+++ b/modules/sardinehollow_network/server/ServerConnection.cpp
@@ -192,7 +192,8 @@
 
 void ServerConnection::startResponse(HTTPResponse &response)
 {
-    const bool hasOpenEnd = hasBody(response) && !response.has("Content-Length");
+    m_isBodySent = hasBody(response);
+    const bool hasOpenEnd = m_isBodySent && !response.has("Content-Length");
     m_isChunked = hasOpenEnd && m_allowsChunks;
     m_isUntilClose = hasOpenEnd && !m_allowsChunks;
     if (m_isUntilClose)
@@ -205,7 +206,7 @@
 
 void ServerConnection::sendPart(std::string_view bytes)
 {
-    if (bytes.empty())
+    if (bytes.empty() || !m_isBodySent)
         return;
     if (m_isChunked)
         send(toChunk(bytes));
--- a/modules/sardinehollow_network/server/ServerConnection.h
+++ b/modules/sardinehollow_network/server/ServerConnection.h
@@ -70,6 +70,8 @@
     bool m_allowsChunks = true;
     bool m_isBodyWhole = false;
     bool m_isPersistent = true;
+    /** Whether the response that was started has a body; parts of others are dropped. */
+    bool m_isBodySent = false;
     bool m_isChunked = false;
     /** The end of the connection ends the body that was started. */
     bool m_isUntilClose = false;
--- a/modules/sardinehollow_platform/etcd/EtcdStore.cpp
+++ b/modules/sardinehollow_platform/etcd/EtcdStore.cpp
@@ -110,7 +110,7 @@
 {
     if (m_endpoints.empty())
         return core::failure(core::ErrorKind::Unreachable, noAddress, addressRemedy);
-    count(CallKind::Watch, purpose);
+    m_calls.count(CallKind::Watch, purpose);
     Object::Ptr create = new Object;
     setRange(*create, key, isPrefix);
     create->set("start_revision", std::to_string(afterRevision + 1));
@@ -123,19 +123,6 @@
     return std::make_unique<EtcdWatch>(endpoint.address, body.str(), m_watchSilenceLimit, listener);
 }
 
-std::uint64_t EtcdStore::calls(CallPurpose purpose) const
-{
-    std::uint64_t sum = 0;
-    for (const auto &byPurpose : m_calls)
-        sum += byPurpose.at(static_cast<std::size_t>(purpose));
-    return sum;
-}
-
-std::uint64_t EtcdStore::calls(CallKind kind, CallPurpose purpose) const
-{
-    return m_calls.at(static_cast<std::size_t>(kind)).at(static_cast<std::size_t>(purpose));
-}
-
 core::Result<Object::Ptr> EtcdStore::post(CallKind kind, CallPurpose purpose,
                                           const std::string &path, const Object &body)
 {
@@ -144,7 +131,7 @@
     const std::size_t first = m_current;
     for (std::size_t attempt = 0; attempt < m_endpoints.size(); ++attempt) {
         const std::size_t index = (first + attempt) % m_endpoints.size();
-        count(kind, purpose);
+        m_calls.count(kind, purpose);
         reply = m_endpoints.at(index).client.post(path, body);
         // Another address is tried only if this call cannot have taken effect.
         if (reply || reply.error().kind != core::ErrorKind::Unreachable) {
@@ -155,9 +142,4 @@
     return reply;
 }
 
-void EtcdStore::count(CallKind kind, CallPurpose purpose)
-{
-    ++m_calls.at(static_cast<std::size_t>(kind)).at(static_cast<std::size_t>(purpose));
-}
-
 } // namespace sardinehollow::platform
--- a/modules/sardinehollow_platform/etcd/EtcdStore.h
+++ b/modules/sardinehollow_platform/etcd/EtcdStore.h
@@ -6,7 +6,6 @@
 
 #include <Poco/JSON/Object.h>
 
-#include <array>
 #include <atomic>
 #include <chrono>
 #include <deque>
@@ -33,15 +32,12 @@
                                                bool isPrefix, std::int64_t afterRevision,
                                                WatchListener &listener) override;
 
-    /** Calls made so far for a purpose. */
-    std::uint64_t calls(CallPurpose purpose) const;
-    std::uint64_t calls(CallKind kind, CallPurpose purpose) const;
+    const CallCounters &callCounters() const override { return m_calls; }
 
 private:
     core::Result<Poco::JSON::Object::Ptr> post(CallKind kind, CallPurpose purpose,
                                                const std::string &path,
                                                const Poco::JSON::Object &body);
-    void count(CallKind kind, CallPurpose purpose);
 
     struct Endpoint
     {
@@ -58,7 +54,7 @@
     std::deque<Endpoint> m_endpoints;
     /** Position of the endpoint that last took a connection. */
     std::atomic<std::size_t> m_current {0};
-    std::array<std::array<std::atomic<std::uint64_t>, callPurposeCount>, callKindCount> m_calls {};
+    CallCounters m_calls;
 };
 
 } // namespace sardinehollow::platform
--- a/modules/sardinehollow_platform/lease/LeasedKey.cpp
+++ b/modules/sardinehollow_platform/lease/LeasedKey.cpp
@@ -92,8 +92,12 @@
 {
     if (m_lease == 0)
         return;
-    // A key that cannot be removed now vanishes with its lease.
-    [[maybe_unused]] const core::Result<void> revoked = m_store.revokeLease(m_purpose, m_lease);
+    const core::Result<void> revoked = m_store.revokeLease(m_purpose, m_lease);
+    if (revoked)
+        return;
+    core::Error error = revoked.error();
+    error.message = "the key could not be removed and vanishes with its lease: " + error.message;
+    m_onFailure(error);
 }
 
 } // namespace sardinehollow::platform
--- a/modules/sardinehollow_platform/lease/LeasedKey.h
+++ b/modules/sardinehollow_platform/lease/LeasedKey.h
@@ -16,7 +16,7 @@
 class LeasedKey
 {
 public:
-    /** Called on the thread of the key when the store did not answer or refused. */
+    /** Called on the thread of the key when the store did not answer or refused; also at its end. */
     using FailureHandler = std::function<void(const core::Error &)>;
 
     /** Without renewal the key vanishes after the lifetime. The seed spreads repeats. */
--- a/modules/sardinehollow_platform/store/KeyValueStore.h
+++ b/modules/sardinehollow_platform/store/KeyValueStore.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "sardinehollow_core/errors/Result.h"
-#include "sardinehollow_platform/store/CallPurpose.h"
+#include "sardinehollow_platform/store/CallCounters.h"
 #include "sardinehollow_platform/store/Compare.h"
 #include "sardinehollow_platform/store/Lease.h"
 #include "sardinehollow_platform/store/RangeResult.h"
@@ -43,6 +43,9 @@
                                                        bool isPrefix, std::int64_t afterRevision,
                                                        WatchListener &listener)
             = 0;
+
+    /** The calls made so far. */
+    virtual const CallCounters &callCounters() const = 0;
 };
 
 } // namespace sardinehollow::platform
--- a/modules/sardinehollow_routing/backends/BackendState.cpp
+++ b/modules/sardinehollow_routing/backends/BackendState.cpp
@@ -79,6 +79,13 @@
         m_server.slots = slots;
 }
 
+std::optional<core::Duration> BackendState::reportAge(core::Instant now) const
+{
+    if (m_reportedAt.count() == 0)
+        return std::nullopt;
+    return now - m_reportedAt;
+}
+
 double BackendState::load(core::Instant now) const
 {
     const double elapsed = std::chrono::duration<double>(now - m_loadAt).count();
--- a/modules/sardinehollow_routing/backends/BackendState.h
+++ b/modules/sardinehollow_routing/backends/BackendState.h
@@ -5,6 +5,7 @@
 #include "sardinehollow_routing/budgets/TokenBucket.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace sardinehollow::routing {
@@ -45,8 +46,8 @@
     /** The server said how many requests it runs and how many wait. */
     void onLoadReport(std::uint32_t running, std::uint32_t waiting, std::uint32_t slots,
                       core::Instant now);
-    /** Time since the last report; since the clock's origin if there was none. */
-    core::Duration reportAge(core::Instant now) const { return now - m_reportedAt; }
+    /** Time since the last report; nothing if there was none. */
+    std::optional<core::Duration> reportAge(core::Instant now) const;
     std::uint32_t inFlight() const { return m_inFlight; }
     /** Estimated requests that run or wait at the server, from all daemons. */
     double load(core::Instant now) const;
--- a/modules/sardinehollow_routing/selection/Selection.h
+++ b/modules/sardinehollow_routing/selection/Selection.h
@@ -2,6 +2,7 @@
 
 #include "sardinehollow_routing/backends/BackendRegistry.h"
 
+#include <optional>
 #include <string_view>
 
 namespace sardinehollow::routing {
@@ -29,8 +30,8 @@
     std::string server;
     /** Estimated requests that run or wait there. */
     double load = 0;
-    /** Time since the server last reported its load. */
-    core::Duration reportAge {0};
+    /** Time since the server last reported its load; nothing if it never did. */
+    std::optional<core::Duration> reportAge;
 };
 
 /** What a choice of a server rested on. */
--- a/modules/sardinehollow_routing/selection/ServerSelector.cpp
+++ b/modules/sardinehollow_routing/selection/ServerSelector.cpp
@@ -145,7 +145,7 @@
         SpillRamp &ramp = m_ramps[service];
         const double position = core::hashToUnit(core::combineHashes(objectHash, spillSalt));
         inputs.spillLevel = ramp.level(now);
-        prefersFar = position < inputs.spillLevel && !route.isBulk;
+        prefersFar = position < inputs.spillLevel && !route.isBulk && ramp.mayFollowLevel(now);
         if (!prefersFar)
             ramp.observe(near != nullptr, now);
         if (!prefersFar && !near && !ramp.mayOverflow())
--- a/modules/sardinehollow_routing/selection/SpillRamp.cpp
+++ b/modules/sardinehollow_routing/selection/SpillRamp.cpp
@@ -14,15 +14,19 @@
 // The level rises while more than this share of the requests finds no room, and falls below half
 // of it.
 constexpr double acceptedOverflow = 0.04;
-// Times over which shares are averaged.
+// Time over which the share without room is averaged.
 constexpr double overflowSeconds = 0.5;
-constexpr double sentSeconds = 1.0;
 // A daemon without a past is free for this time; what it did then is where its ramp starts.
 constexpr core::Duration settlingTime = std::chrono::seconds(2);
+// For this time the requests that leave are held to the level also by number: those that find no
+// room near are refused and do not count, so that the others would be a larger share.
+constexpr core::Duration strictTime = std::chrono::seconds(12);
 // Leaves requests that show whether the region has room again.
 constexpr double highestLevel = 0.9;
 // How far the share of requests that left may lie above the level.
 constexpr double overflowTolerance = 0.04;
+// Bound of what is saved up for later or owed, in requests.
+constexpr double mostAllowance = 2;
 
 double averaged(double average, double sample, core::Instant last, core::Instant now,
                 double seconds)
@@ -45,7 +49,6 @@
     if (m_firstAt.count() == 0) {
         m_firstAt = now;
         m_observedAt = now;
-        m_sentAt = now;
     }
     const double elapsed = std::chrono::duration<double>(now - m_levelAt).count();
     m_levelAt = now;
@@ -66,21 +69,31 @@
     m_observedAt = now;
 }
 
+bool SpillRamp::mayFollowLevel(core::Instant now) const
+{
+    const bool isStrict = !isSettling(now) && now - m_firstAt < strictTime;
+    return !isStrict || m_allowance > 0;
+}
+
 bool SpillRamp::mayOverflow() const
 {
-    return isSettling(m_observedAt) || m_sent < m_level + overflowTolerance;
+    return isSettling(m_observedAt) || m_allowance > 0;
 }
 
 void SpillRamp::onSent(bool hasLeft, core::Instant now)
 {
-    m_sent = averaged(m_sent, hasLeft ? 1 : 0, m_sentAt, now, sentSeconds);
-    m_sentAt = now;
-    if (!isSettling(now))
+    const double left = hasLeft ? 1 : 0;
+    if (!isSettling(now)) {
+        // Counted by requests, not by time: an average over few of them is off by more than the
+        // tolerance, and would let more leave whenever it is too low.
+        m_allowance = std::clamp(m_allowance + m_level + overflowTolerance - left, -mostAllowance,
+                                 mostAllowance);
         return;
-    ++m_settlingSent;
-    m_settlingLeft += hasLeft ? 1 : 0;
-    m_level = static_cast<double>(m_settlingLeft) / static_cast<double>(m_settlingSent);
-    m_sent = m_level;
+    }
+    m_settlingSent += 1;
+    m_settlingLeft += left;
+    // What may leave beyond the level comes on top of it afterwards.
+    m_level = std::max(0.0, m_settlingLeft / m_settlingSent - overflowTolerance);
 }
 
 } // namespace sardinehollow::routing
--- a/modules/sardinehollow_routing/selection/SpillRamp.h
+++ b/modules/sardinehollow_routing/selection/SpillRamp.h
@@ -2,8 +2,6 @@
 
 #include "sardinehollow_core/time/Instant.h"
 
-#include <cstdint>
-
 namespace sardinehollow::routing {
 
 /**
@@ -18,6 +16,8 @@
     double level(core::Instant now);
     /** Notes whether the region had room for a request for one of the other objects. */
     void observe(bool hadRoom, core::Instant now);
+    /** Whether a request for one of the objects within the level may leave the region. */
+    bool mayFollowLevel(core::Instant now) const;
     /** Whether a request beyond the level may leave the region as well. */
     bool mayOverflow() const;
     /** Notes where a request went. */
@@ -29,14 +29,13 @@
     double m_level = 0;
     /** Average share of requests for which the region had no room. */
     double m_overflow = 0;
-    /** Average share of requests that left the region. */
-    double m_sent = 0;
-    std::uint64_t m_settlingSent = 0;
-    std::uint64_t m_settlingLeft = 0;
+    /** Requests that may still leave the region beyond the level. */
+    double m_allowance = 0;
+    double m_settlingSent = 0;
+    double m_settlingLeft = 0;
     core::Instant m_firstAt {0};
     core::Instant m_levelAt {0};
     core::Instant m_observedAt {0};
-    core::Instant m_sentAt {0};
 };
 
 } // namespace sardinehollow::routing
--- a/tests/adapter/KvStoreTest.cpp
+++ b/tests/adapter/KvStoreTest.cpp
@@ -101,7 +101,7 @@
     CHECK(one->keyValues.size() == 1);
     CHECK(fixture.store.range(purpose, "q/none", false)->keyValues.empty());
     // Each page and each key is a call, which the platform prices.
-    CHECK(fixture.store.calls(platform::CallKind::Range, purpose) == 5);
+    CHECK(fixture.store.callCounters().calls(platform::CallKind::Range, purpose) == 5);
 }
 
 TEST_CASE("A transaction whose condition fails changes nothing")
--- a/tests/gateway/PrefixMirrorTest.cpp
+++ b/tests/gateway/PrefixMirrorTest.cpp
@@ -136,3 +136,22 @@
     key.release();
     waitForKey(false);
 }
+
+TEST_CASE("A key that cannot be removed at its end is reported")
+{
+    tests::FakeStore store;
+    std::vector<std::string> messages;
+    {
+        std::mutex mutex;
+        platform::LeasedKey key(store, CallPurpose::Entries, "entries/one", "value", 1h, 1,
+                                [&](const core::Error &error) {
+                                    const std::lock_guard lock(mutex);
+                                    messages.push_back(error.message);
+                                });
+        while (store.range(CallPurpose::Operator, "entries/one", false)->keyValues.empty())
+            std::this_thread::sleep_for(1ms);
+        store.outage = true;
+    }
+    REQUIRE(messages.size() == 1);
+    CHECK(messages.front().find("could not be removed") != std::string::npos);
+}
--- /dev/null
+++ b/tests/network/ListenerTest.cpp
@@ -0,0 +1,65 @@
+#include "network/ServerWorld.h"
+
+#include <catch2/catch.hpp>
+
+#include <sys/resource.h>
+#include <unistd.h>
+#include <vector>
+
+using namespace sardinehollow;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Holds every descriptor of this process but one, below a limit of the process's own. */
+class DescriptorShortage
+{
+public:
+    DescriptorShortage()
+    {
+        getrlimit(RLIMIT_NOFILE, &m_limit);
+        rlimit lowered = m_limit;
+        lowered.rlim_cur = 256;
+        setrlimit(RLIMIT_NOFILE, &lowered);
+        for (int copy = dup(0); copy >= 0; copy = dup(0))
+            m_held.push_back(copy);
+        release();
+    }
+    ~DescriptorShortage()
+    {
+        while (!m_held.empty())
+            release();
+        setrlimit(RLIMIT_NOFILE, &m_limit);
+    }
+
+    void release()
+    {
+        close(m_held.back());
+        m_held.pop_back();
+    }
+
+private:
+    rlimit m_limit {};
+    std::vector<int> m_held;
+};
+
+} // namespace
+
+TEST_CASE("A listener without a free descriptor says so once, rests, and accepts again")
+{
+    const tests::ServerWorld world("body", true);
+    const std::string request = "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    // Takes the last descriptor, so that the connection waits to be accepted.
+    auto shortage = std::make_unique<DescriptorShortage>();
+    Poco::Net::StreamSocket socket(world.address());
+    while (world.failures() == 0)
+        std::this_thread::sleep_for(1ms);
+    const std::uint64_t before = world.loopTurns();
+    std::this_thread::sleep_for(500ms);
+    // Without a rest the loop would have turned without a pause.
+    CHECK(world.loopTurns() - before < 100);
+    CHECK(world.failures() == 1);
+    shortage.reset();
+    socket.sendBytes(request.data(), static_cast<int>(request.size()));
+    CHECK(tests::ServerWorld::readAll(socket).find("body") != std::string::npos);
+}
--- /dev/null
+++ b/tests/network/ServerConnectionTest.cpp
@@ -0,0 +1,74 @@
+#include "network/ServerWorld.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sardinehollow;
+using namespace std::chrono_literals;
+
+TEST_CASE("A response is framed as the caller's version and method ask for")
+{
+    struct FramingCase
+    {
+        const char *failure;
+        const char *request;
+        bool statesLength;
+        /** What the bytes after the head are to be. */
+        const char *body;
+        bool isChunked;
+    };
+    const FramingCase item = GENERATE(
+            FramingCase {"a stated length is lost",
+                         "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", true, "body",
+                         false},
+            FramingCase {"a body without length has no end",
+                         "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", false,
+                         "4\r\nbody\r\n0\r\n\r\n", true},
+            FramingCase {"a caller of HTTP/1.0 gets chunks", "GET / HTTP/1.0\r\n\r\n", false,
+                         "body", false},
+            FramingCase {"the answer to HEAD has a body",
+                         "HEAD / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", true, "",
+                         false},
+            FramingCase {"the answer to HEAD has chunks",
+                         "HEAD / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", false, "",
+                         false},
+            FramingCase {"a request without host is served",
+                         "GET / HTTP/1.1\r\nConnection: close\r\n\r\n", true, "fault", false});
+    CAPTURE(item.failure);
+    const tests::ServerWorld world("body", item.statesLength);
+    const std::string answer = world.exchange(item.request);
+    const std::size_t end = answer.find("\r\n\r\n");
+    REQUIRE(end != std::string::npos);
+    CHECK(answer.substr(end + 4) == item.body);
+    const bool isChunked = answer.find("Transfer-Encoding: chunked") != std::string::npos;
+    CHECK(isChunked == item.isChunked);
+}
+
+TEST_CASE("A caller that takes its last response slowly gets all of it")
+{
+    // The connection was cut a second after the response, although the caller was still reading.
+    const std::string body(8 * 1024 * 1024, 'x');
+    const tests::ServerWorld world(body, true);
+    Poco::Net::StreamSocket socket;
+    socket.connect(world.address());
+    socket.setReceiveBufferSize(64 * 1024);
+    const std::string request = "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    socket.sendBytes(request.data(), static_cast<int>(request.size()));
+    std::string text;
+    std::array<char, 1024 * 1024> buffer {};
+    // Two pauses of the reader, each longer than the time for which a finished connection waits.
+    for (int part = 0; part < 8; ++part) {
+        if (part == 2 || part == 4)
+            std::this_thread::sleep_for(700ms);
+        std::size_t wanted = buffer.size();
+        while (wanted > 0) {
+            const int count = socket.receiveBytes(buffer.data(), static_cast<int>(wanted));
+            REQUIRE(count > 0);
+            text.append(buffer.data(), static_cast<std::size_t>(count));
+            wanted -= static_cast<std::size_t>(count);
+        }
+    }
+    text += tests::ServerWorld::readAll(socket);
+    const std::size_t end = text.find("\r\n\r\n");
+    REQUIRE(end != std::string::npos);
+    CHECK(text.size() - end - 4 == body.size());
+}
--- /dev/null
+++ b/tests/routing/SpillRampTest.cpp
@@ -0,0 +1,97 @@
+#include "sardinehollow_routing/selection/SpillRamp.h"
+
+#include "sardinehollow_core/random/SeededRandom.h"
+
+#include <algorithm>
+#include <array>
+#include <catch2/catch.hpp>
+#include <cmath>
+
+using namespace sardinehollow;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t windowCount = 8;
+constexpr core::Duration windowLength = 2s;
+
+/** Requests of a region by the window in which they came, and how many of them left it. */
+struct Windows
+{
+    std::array<double, windowCount> sent {};
+    std::array<double, windowCount> left {};
+
+    double share(std::size_t index) const { return left[index] / sent[index]; }
+};
+
+/** The daemons of a region whose servers can serve a part of its requests. */
+class Region
+{
+public:
+    Region(std::uint64_t seed, double nearCapacity)
+        : m_random(seed)
+        , m_nearCapacity(nearCapacity)
+    { }
+
+    /** Plays one daemon with the given number of requests in a second. */
+    void play(double requestsPerSecond, Windows &windows)
+    {
+        routing::SpillRamp ramp;
+        const core::Instant start {1h};
+        double seconds = 0;
+        while (true) {
+            seconds -= std::log(std::max(unit(), 1e-12)) / requestsPerSecond;
+            const auto elapsed = std::chrono::duration_cast<core::Duration>(
+                    std::chrono::duration<double>(seconds));
+            const auto window = static_cast<std::size_t>(elapsed / windowLength);
+            if (window >= windowCount)
+                return;
+            request(ramp, start + elapsed, elapsed, window, windows);
+        }
+    }
+
+private:
+    double unit() { return static_cast<double>(m_random.next() >> 11) * 0x1p-53; }
+
+    void request(routing::SpillRamp &ramp, core::Instant now, core::Duration elapsed,
+                 std::size_t window, Windows &windows)
+    {
+        const double level = ramp.level(now);
+        const bool prefersFar = unit() < level && ramp.mayFollowLevel(now);
+        // The servers near are idle at first and take what comes.
+        const double room = elapsed < 600ms ? 1.0 : m_nearCapacity / (1 - level);
+        const bool hasRoom = unit() < room;
+        if (!prefersFar)
+            ramp.observe(hasRoom, now);
+        if (!prefersFar && !hasRoom && !ramp.mayOverflow())
+            return;
+        const bool hasLeft = prefersFar || !hasRoom;
+        ramp.onSent(hasLeft, now);
+        windows.sent[window] += 1;
+        windows.left[window] += hasLeft ? 1 : 0;
+    }
+
+    core::SeededRandom m_random;
+    const double m_nearCapacity;
+};
+
+} // namespace
+
+TEST_CASE("The share of requests that leaves a region moves slowly at every rate of requests")
+{
+    // With few requests for each daemon an average over a second let more leave than the level
+    // allows: the users' rule of 0.15 in 2 s was broken with 2.5 requests a second.
+    const double requestsPerSecond = GENERATE(1.0, 2.5, 10.0, 40.0);
+    const double nearCapacity = GENERATE(0.1, 0.25, 0.5, 0.8);
+    const std::uint64_t seed = GENERATE(range(1, 6));
+    CAPTURE(requestsPerSecond, nearCapacity, seed);
+    Windows windows;
+    Region region(seed, nearCapacity);
+    constexpr double regionRate = 1600;
+    for (double rate = 0; rate < regionRate; rate += requestsPerSecond)
+        region.play(requestsPerSecond, windows);
+    for (std::size_t window = 1; window < windowCount; ++window) {
+        CAPTURE(window, windows.share(window - 1), windows.share(window));
+        CHECK(std::abs(windows.share(window) - windows.share(window - 1)) <= 0.15);
+    }
+}
--- a/tests/support/FakeStore.cpp
+++ b/tests/support/FakeStore.cpp
@@ -16,9 +16,9 @@
 core::Result<platform::RangeResult> FakeStore::range(platform::CallPurpose purpose,
                                                      const std::string &key, bool isPrefix)
 {
-    (void)purpose;
     const std::lock_guard lock(m_mutex);
     ++calls;
+    m_counters.count(platform::CallKind::Range, purpose);
     if (outage)
         return unreachable();
     platform::RangeResult result {{}, m_revision};
@@ -35,9 +35,9 @@
 FakeStore::transact(platform::CallPurpose purpose, const std::vector<platform::Compare> &conditions,
                     const std::vector<platform::Write> &operations)
 {
-    (void)purpose;
     const std::lock_guard lock(m_mutex);
     ++calls;
+    m_counters.count(platform::CallKind::Transaction, purpose);
     const bool deletes = std::any_of(operations.begin(), operations.end(),
                                      [](const platform::Write &write) { return !write.value; });
     if (outage || (failDeletes && deletes))
@@ -72,9 +72,9 @@
 core::Result<platform::Lease> FakeStore::grantLease(platform::CallPurpose purpose,
                                                     std::chrono::seconds lifetime)
 {
-    (void)purpose;
     const std::lock_guard lock(m_mutex);
     ++calls;
+    m_counters.count(platform::CallKind::LeaseGrant, purpose);
     if (outage)
         return unreachable();
     m_leases[m_nextLease] = {lifetime, m_now + lifetime};
@@ -84,9 +84,9 @@
 core::Result<platform::Lease> FakeStore::keepAliveLease(platform::CallPurpose purpose,
                                                         std::int64_t id)
 {
-    (void)purpose;
     const std::lock_guard lock(m_mutex);
     ++calls;
+    m_counters.count(platform::CallKind::LeaseKeepAlive, purpose);
     if (outage)
         return unreachable();
     const auto found = m_leases.find(id);
@@ -98,9 +98,9 @@
 
 core::Result<void> FakeStore::revokeLease(platform::CallPurpose purpose, std::int64_t id)
 {
-    (void)purpose;
     const std::lock_guard lock(m_mutex);
     ++calls;
+    m_counters.count(platform::CallKind::LeaseRevoke, purpose);
     if (outage)
         return unreachable();
     m_leases.erase(id);
--- a/tests/support/FakeStore.h
+++ b/tests/support/FakeStore.h
@@ -25,6 +25,8 @@
     watch(platform::CallPurpose purpose, const std::string &key, bool isPrefix,
           std::int64_t afterRevision, platform::WatchListener &listener) override;
 
+    const platform::CallCounters &callCounters() const override { return m_counters; }
+
     /** Moves the store's clock; leases that lapse take their keys with them. */
     void advance(std::chrono::nanoseconds duration);
 
@@ -47,6 +49,7 @@
 
     void dropLeaseKeys(std::int64_t id);
 
+    platform::CallCounters m_counters;
     std::mutex m_mutex;
     std::int64_t m_revision = 1;
     std::int64_t m_nextLease = 1;
--- a/tests/support/FaultyStore.h
+++ b/tests/support/FaultyStore.h
@@ -38,6 +38,8 @@
     watch(platform::CallPurpose purpose, const std::string &key, bool isPrefix,
           std::int64_t afterRevision, platform::WatchListener &listener) override;
 
+    const platform::CallCounters &callCounters() const override { return m_store.callCounters(); }
+
     void applyDelayed();
 
     Fault fault = Fault::None;
