Tell a server's stated failure from a wrong answer in the load tool

The stand-in ends a run at the deadline that came with the request and says so with 504; after the loss of the region postings wait long enough for that. The daemon passed on a whole response of the server, which is right; the tool counted every answer but the due one as wrong.

Such answers are counted as serverError now; a 200 with another body, a refusal without outcome and a status of a caller's error stay wrong.

Test: ResultsTest, 'An answer counts as wrong only if'. Ruled out: an answer of another request or a cut one.

--- a/modules/sardinehollow_load/caller/Caller.cpp
+++ b/modules/sardinehollow_load/caller/Caller.cpp
@@ -1,5 +1,6 @@
 #include "sardinehollow_load/caller/Caller.h"
 
+#include "sardinehollow_load/client/AnswerCheck.h"
 #include "sardinehollow_standin/content/Content.h"
 
 #include <Poco/JSON/Array.h>
@@ -125,23 +126,11 @@
                    RequestResult &result) const
 {
     result.reason = answer.reason;
-    if (answer.status == 0) {
-        result.outcome = RequestOutcome::NoAnswer;
-        // A repeat of an unanswered posting is told apart by its key, so it stays safe to resend.
-        return;
-    }
-    if (answer.outcome == "not-run") {
-        result.outcome = RequestOutcome::NotRun;
-        return;
-    }
-    if (answer.outcome == "unknown") {
-        result.outcome = RequestOutcome::Unknown;
-        return;
-    }
     const std::string identity = kind.method + " " + path + " " + result.key;
-    const bool own = answer.status == 200
-            && answer.body == standin::contentFor(identity, 0, kind.responseBytes);
-    result.outcome = own ? RequestOutcome::InTime : RequestOutcome::WrongAnswer;
+    const std::string due = standin::contentFor(identity, 0, kind.responseBytes);
+    result.outcome = outcomeOf(answer, due);
+    if (result.outcome == RequestOutcome::WrongAnswer)
+        result.difference = identity + ": " + difference(answer, due);
 }
 
 } // namespace sardinehollow::load
--- a/modules/sardinehollow_load/report/HtmlReport.cpp
+++ b/modules/sardinehollow_load/report/HtmlReport.cpp
@@ -38,8 +38,9 @@
         const char *colour;
     };
     constexpr Segment segments[]
-            = {{"inTime", "#2a7f4f"},  {"late", "#d9a441"},     {"notRun", "#8896a8"},
-               {"unknown", "#b8574a"}, {"noAnswer", "#5b3b6b"}, {"wrongAnswer", "#ff0000"}};
+            = {{"inTime", "#2a7f4f"},     {"late", "#d9a441"},     {"notRun", "#8896a8"},
+               {"unknown", "#b8574a"},    {"noAnswer", "#5b3b6b"}, {"serverError", "#7a4a2a"},
+               {"wrongAnswer", "#ff0000"}};
     const double offered = std::max(1.0, row.getValue<double>("offered"));
     std::ostringstream svg;
     svg << "<svg width=\"" << barWidth << "\" height=\"" << barHeight << "\">";
--- a/modules/sardinehollow_load/results/RequestOutcome.cpp
+++ b/modules/sardinehollow_load/results/RequestOutcome.cpp
@@ -13,6 +13,7 @@
                 {RequestOutcome::NotRun, "notRun"},
                 {RequestOutcome::Unknown, "unknown"},
                 {RequestOutcome::NoAnswer, "noAnswer"},
+                {RequestOutcome::ServerError, "serverError"},
                 {RequestOutcome::WrongAnswer, "wrongAnswer"},
         }}};
 
--- a/modules/sardinehollow_load/results/RequestOutcome.h
+++ b/modules/sardinehollow_load/results/RequestOutcome.h
@@ -15,6 +15,8 @@
     Unknown,
     /** No daemon answered. */
     NoAnswer,
+    /** A whole answer in which the backend server says that it failed. */
+    ServerError,
     /** An answer that is not the request's own or not whole, but looked whole. */
     WrongAnswer,
     Count,
--- a/modules/sardinehollow_load/results/RequestResult.h
+++ b/modules/sardinehollow_load/results/RequestResult.h
@@ -18,6 +18,8 @@
     int tries = 0;
     /** Idempotency key; empty for idempotent requests. */
     std::string key;
+    /** What came in place of the answer that was due (WrongAnswer). */
+    std::string difference;
     /** Whether every try was answered as not run. */
     bool allNotRun = false;
 };
--- a/modules/sardinehollow_load/run/LoadRun.cpp
+++ b/modules/sardinehollow_load/run/LoadRun.cpp
@@ -113,6 +113,8 @@
     ++m_finished;
     const std::lock_guard lock(m_mutex);
     m_kinds[arrival.kind].record(result);
+    if (result.outcome == RequestOutcome::WrongAnswer)
+        std::cerr << "wrong answer: " << result.difference << "\n";
     const bool notRun = result.outcome == RequestOutcome::NotRun && result.allNotRun;
     if (notRun && !result.key.empty())
         m_notRunKeys.insert(result.key);
--- a/tests/load/ResultsTest.cpp
+++ b/tests/load/ResultsTest.cpp
@@ -1,3 +1,4 @@
+#include "sardinehollow_load/client/AnswerCheck.h"
 #include "sardinehollow_load/results/ResultFile.h"
 
 #include <catch2/catch.hpp>
@@ -25,6 +26,37 @@
     REQUIRE(results.reasons().at("queue-full") == 1);
 }
 
+TEST_CASE("An answer counts as wrong only if it is neither due nor a stated failure")
+{
+    struct AnswerCase
+    {
+        const char *failure;
+        load::HttpAnswer answer;
+        load::RequestOutcome outcome;
+    };
+    using load::RequestOutcome;
+    const std::vector<AnswerCase> cases {
+            {"the due answer", {200, true, "complete", "", "due"}, RequestOutcome::InTime},
+            {"another body", {200, true, "complete", "", "other"}, RequestOutcome::WrongAnswer},
+            {"a cut body", {200, true, "complete", "", "du"}, RequestOutcome::WrongAnswer},
+            // A stand-in that ended a run at its deadline was counted as a wrong answer.
+            {"the server's own failure",
+             {504, true, "complete", "", ""},
+             RequestOutcome::ServerError},
+            {"a failure without outcome", {500, true, "", "", ""}, RequestOutcome::WrongAnswer},
+            {"a refusal", {503, true, "not-run", "queue-full", ""}, RequestOutcome::NotRun},
+            {"an unknown outcome", {502, true, "unknown", "", ""}, RequestOutcome::Unknown},
+            {"an answer to another request",
+             {404, true, "complete", "", ""},
+             RequestOutcome::WrongAnswer},
+            {"no answer", {0, true, "", "", ""}, RequestOutcome::NoAnswer},
+    };
+    for (const AnswerCase &item : cases) {
+        CAPTURE(item.failure);
+        CHECK(load::outcomeOf(item.answer, "due") == item.outcome);
+    }
+}
+
 TEST_CASE("An experiment file with faults is refused with all of them")
 {
     const auto read = load::readExperiment(R"({"name": "x", "deployment": "y", "durationSeconds": 0,
