Quarantine requests that crash the servers that run them, on the platform too

Cause: a request may crash each server that begins to run it and comes again at any daemon; nothing bounded that but the attempts of one arrival, while the users' rules allow three more retries after the third crash.

A connection that broke with the request in flight counts once the server is known to be dead; two such servers, seen by any daemon, quarantine the request for 60 s. Daemons tell what they saw in their own entries (LeasedKey::update), so that no key, lease or watch is added.

Tests: RequestQuarantineTest (deaths, resets, restarts, reports of others, bounds), 'A request that crashes the servers' against raw servers in GatewayContractTest, LeasedKey's new value after an outage; each fails without its part.

Request lines name the caller.

--- a/modules/sardinehollow_gateway/application/EntryCodec.cpp
+++ b/modules/sardinehollow_gateway/application/EntryCodec.cpp
@@ -1,35 +1,71 @@
 #include "sardinehollow_gateway/application/EntryCodec.h"
 
+#include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
+#include <Poco/NumberFormatter.h>
+#include <Poco/NumberParser.h>
 
 #include <sstream>
 
 namespace sardinehollow::gateway {
 
-std::string encodeEntry(const routing::EntryDaemon &daemon)
+namespace {
+
+using Poco::JSON::Array;
+using Poco::JSON::Object;
+
+// Numbers of JSON are not exact at 64 bits.
+Object::Ptr toJson(const routing::CrashReport &report)
+{
+    Object::Ptr object = new Object;
+    object->set("request",
+                Poco::NumberFormatter::formatHex(static_cast<Poco::UInt64>(report.request)));
+    object->set("server", report.server);
+    return object;
+}
+
+routing::CrashReport toReport(const Object &object)
+{
+    routing::CrashReport report;
+    report.request = Poco::NumberParser::parseHex64(object.getValue<std::string>("request"));
+    report.server = object.getValue<std::string>("server");
+    return report;
+}
+
+} // namespace
+
+std::string encodeEntry(const Entry &entry)
 {
-    Poco::JSON::Object object;
-    object.set("vm", daemon.name);
-    object.set("address", daemon.address);
-    object.set("failureDomain", daemon.failureDomain);
-    object.set("region", daemon.region);
+    Object object;
+    object.set("vm", entry.daemon.name);
+    object.set("address", entry.daemon.address);
+    object.set("failureDomain", entry.daemon.failureDomain);
+    object.set("region", entry.daemon.region);
+    Array::Ptr reports = new Array;
+    for (const routing::CrashReport &report : entry.crashReports)
+        reports->add(toJson(report));
+    if (!entry.crashReports.empty())
+        object.set("crashReports", reports);
     std::ostringstream text;
     object.stringify(text);
     return text.str();
 }
 
-core::Result<routing::EntryDaemon> decodeEntry(const std::string &text)
+core::Result<Entry> decodeEntry(const std::string &text)
 {
     try {
         Poco::JSON::Parser parser;
-        const auto object = parser.parse(text).extract<Poco::JSON::Object::Ptr>();
-        routing::EntryDaemon daemon;
-        daemon.name = object->getValue<std::string>("vm");
-        daemon.address = object->getValue<std::string>("address");
-        daemon.failureDomain = object->getValue<std::string>("failureDomain");
-        daemon.region = object->getValue<std::string>("region");
-        return daemon;
+        const auto object = parser.parse(text).extract<Object::Ptr>();
+        Entry entry;
+        entry.daemon.name = object->getValue<std::string>("vm");
+        entry.daemon.address = object->getValue<std::string>("address");
+        entry.daemon.failureDomain = object->getValue<std::string>("failureDomain");
+        entry.daemon.region = object->getValue<std::string>("region");
+        const Array::Ptr reports = object->getArray("crashReports");
+        for (unsigned index = 0; !reports.isNull() && index < reports->size(); ++index)
+            entry.crashReports.push_back(toReport(*reports->getObject(index)));
+        return entry;
     } catch (const Poco::Exception &exception) {
         return core::failure(core::ErrorKind::InvalidInput,
                              "the entry of a daemon cannot be read: " + exception.displayText(),
--- a/modules/sardinehollow_gateway/application/GatewayApplication.cpp
+++ b/modules/sardinehollow_gateway/application/GatewayApplication.cpp
@@ -4,6 +4,8 @@
 #include "sardinehollow_gateway/application/EntryCodec.h"
 #include "sardinehollow_metrics/PrometheusWriter.h"
 
+#include <Poco/NumberFormatter.h>
+
 #include <algorithm>
 
 namespace sardinehollow::gateway {
@@ -21,6 +23,8 @@
 // New requests are refused in this last part of the grace period, so that those taken before can
 // end; the platform's callers wait no longer than this for most requests.
 constexpr double finishingShare = 0.5;
+// Crashes of servers come in groups; one write tells of all of them.
+constexpr core::Duration reportInterval = std::chrono::seconds(1);
 // Left of the grace period for the process to end.
 constexpr core::Duration exitTime = std::chrono::milliseconds(300);
 
@@ -126,14 +130,20 @@
     m_servers.removeDue();
     m_entries.removeDue();
     m_pool.prune();
+    for (const std::uint64_t request : m_routing.quarantine().advance(m_loop.now()))
+        m_log.state(LogLine("request-quarantined")
+                            .text("request",
+                                  Poco::NumberFormatter::formatHex(
+                                          static_cast<Poco::UInt64>(request))));
+    publishCrashReports();
     if (m_stoppingSince.count() > 0)
         advanceStop();
     // Callers are sent here only once requests can be routed.
     if (!m_ownEntry && isReady()) {
         m_ownEntry = std::make_unique<platform::LeasedKey>(
                 m_store, platform::CallPurpose::Entries, entryPrefix + m_settings.self.name,
-                encodeEntry(m_settings.self), std::max(entryLifetime, m_settings.shortestLease),
-                seedOf(m_settings, "lease"),
+                encodeEntry({m_settings.self, {}}),
+                std::max(entryLifetime, m_settings.shortestLease), seedOf(m_settings, "lease"),
                 [this](const core::Error &error) { onRenewalFailed(error); });
         m_log.state(LogLine("ready").text("vm", m_settings.self.name));
     }
@@ -141,6 +151,18 @@
     m_loop.schedule(tickInterval, [this] { onTick(); });
 }
 
+void GatewayApplication::publishCrashReports()
+{
+    const routing::RequestQuarantine &quarantine = m_routing.quarantine();
+    const bool isDue = m_ownEntry && quarantine.reportCount() != m_publishedReports
+            && m_loop.now() - m_reportsPublishedAt >= reportInterval;
+    if (!isDue)
+        return;
+    m_publishedReports = quarantine.reportCount();
+    m_reportsPublishedAt = m_loop.now();
+    m_ownEntry->update(encodeEntry({m_settings.self, quarantine.reports()}));
+}
+
 void GatewayApplication::onRenewalFailed(const core::Error &error)
 {
     m_loop.post([this, error] {
@@ -233,6 +255,8 @@
     add("caller_connections", "Connections of callers.", "gauge", m_callers->connectionCount());
     add("backend_servers", "Backend servers known.", "gauge", m_routing.backends().all().size());
     add("entry_daemons", "Daemons known.", "gauge", m_routing.entries().daemons().size());
+    add("quarantined_requests", "Requests that are held to crash servers.", "gauge",
+        m_routing.quarantine().size());
     add("log_lines_omitted_total", "Request lines left out of the log.", "counter",
         m_log.omitted());
     add("configuration_version", "Version in force; 0 for none.", "gauge",
--- a/modules/sardinehollow_gateway/application/GatewayApplication.h
+++ b/modules/sardinehollow_gateway/application/GatewayApplication.h
@@ -42,6 +42,8 @@
     makeQueryListener(const std::string &address, network::QueryListener::Handler handler);
     void onAcceptFailed(const std::string &address, const std::string &reason);
     void onTick();
+    /** Tells the others of crashes that this daemon saw. */
+    void publishCrashReports();
     void onRenewalFailed(const core::Error &error);
     void checkSignals();
     void beginStop();
@@ -76,6 +78,8 @@
     std::atomic<bool> m_stopRequested {false};
     std::atomic<bool> m_reloadRequested {false};
     core::Instant m_stoppingSince {0};
+    std::uint64_t m_publishedReports = 0;
+    core::Instant m_reportsPublishedAt {0};
 };
 
 } // namespace sardinehollow::gateway
--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -107,6 +107,7 @@
     , m_request(request)
     , m_framing(framing)
     , m_facts(services.protocol.readCallerRequest(m_request))
+    , m_caller(sink.peerHost())
     , m_startedAt(services.loop.now())
 { }
 
@@ -184,6 +185,13 @@
 void Exchange::attempt()
 {
     const core::Instant now = m_services.loop.now();
+    if (m_tried.empty()) {
+        m_requestHash = requestHash();
+        if (m_services.routing.quarantine().contains(m_requestHash, now)) {
+            refuse(RequestOutcome::Quarantined, "servers died while they ran this request");
+            return;
+        }
+    }
     const routing::Selection selection
             = m_services.routing.select(*m_route, m_service, m_objectHash, m_tried, now);
     m_selectionReason = selection.reason;
@@ -203,6 +211,15 @@
     send(selection);
 }
 
+std::uint64_t Exchange::requestHash() const
+{
+    const std::uint64_t head = core::combineHashes(core::stableHash(m_request.getMethod() + " "
+                                                                    + m_request.get("Host", "")
+                                                                    + m_request.getURI()),
+                                                   core::stableHash(m_caller));
+    return core::combineHashes(head, core::stableHash(m_body));
+}
+
 void Exchange::send(const routing::Selection &selection)
 {
     const routing::BackendStatePtr &server = selection.server;
@@ -343,6 +360,7 @@
         return;
     }
     m_server->onSuccess();
+    m_services.routing.quarantine().onAnswered(m_requestHash);
     deliver();
 }
 
@@ -366,6 +384,8 @@
         m_server->onUnreachable(m_services.loop.now());
     else
         m_server->onFailure(m_services.loop.now());
+    if (failure == network::AttemptFailure::Broken)
+        m_services.routing.quarantine().onLost(m_requestHash, m_server, m_services.loop.now());
     if (m_isStreaming) {
         m_sink.abortResponse();
         finish(RequestOutcome::ResponseCut, m_response->getStatus(), detail);
@@ -473,6 +493,7 @@
         m_services.metrics.recordLatency(m_service, now - m_startedAt);
     LogLine line("request");
     line.text("id", m_facts.requestId)
+            .text("caller", m_caller)
             .text("route", m_route ? m_route->name : "")
             .text("service", m_service)
             .number("configuration",
--- a/modules/sardinehollow_gateway/exchange/Exchange.h
+++ b/modules/sardinehollow_gateway/exchange/Exchange.h
@@ -40,6 +40,8 @@
 
 private:
     void attempt();
+    /** Hash of what makes this request the same at any daemon. */
+    std::uint64_t requestHash() const;
     void send(const routing::Selection &selection);
     void sendBody(std::string_view bytes);
     void endBody();
@@ -61,12 +63,15 @@
     Poco::Net::HTTPRequest m_request;
     const core::HttpBodyFraming m_framing;
     CallerRequestFacts m_facts;
+    /** IP address of the caller. */
+    const std::string m_caller;
     const core::Instant m_startedAt;
     core::Instant m_deadline {0};
     routing::RouteTablePtr m_table;
     const routing::Route *m_route = nullptr;
     std::string m_service;
     std::uint64_t m_objectHash = 0;
+    std::uint64_t m_requestHash = 0;
     network::EventLoop::Timer m_timer;
 
     /** The request's body as far as it is kept; all of it unless it is streamed. */
--- a/modules/sardinehollow_gateway/status/RequestOutcome.cpp
+++ b/modules/sardinehollow_gateway/status/RequestOutcome.cpp
@@ -18,6 +18,7 @@
         Entry {RequestOutcome::BodyTooLarge, "body-too-large"},
         Entry {RequestOutcome::RequestTimeout, "request-timeout"},
         Entry {RequestOutcome::NoServer, "no-server"},
+        Entry {RequestOutcome::Quarantined, "quarantined"},
         Entry {RequestOutcome::Overloaded, "overloaded"},
         Entry {RequestOutcome::NotRun, "not-run"},
         Entry {RequestOutcome::OutcomeUnknown, "outcome-unknown"},
--- a/modules/sardinehollow_gateway/status/RequestOutcome.h
+++ b/modules/sardinehollow_gateway/status/RequestOutcome.h
@@ -22,6 +22,8 @@
     RequestTimeout,
     /** No backend server may run the request. */
     NoServer,
+    /** The request is held to crash the servers that run it. */
+    Quarantined,
     /** All backend servers that may be used are full. */
     Overloaded,
     /** Every server that was tried stated that it did not run the request. */
--- a/modules/sardinehollow_platform/lease/LeasedKey.cpp
+++ b/modules/sardinehollow_platform/lease/LeasedKey.cpp
@@ -16,11 +16,11 @@
     : m_store(store)
     , m_purpose(purpose)
     , m_key(std::move(key))
-    , m_value(std::move(value))
     , m_lifetime(lifetime)
     , m_onFailure(std::move(onFailure))
     , m_random(seed)
     , m_backOff(m_random, firstPause, longestPause)
+    , m_value(std::move(value))
     , m_thread([this] { run(); })
 { }
 
@@ -30,6 +30,16 @@
     m_thread.join();
 }
 
+void LeasedKey::update(std::string value)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_value = std::move(value);
+        m_isChanged = true;
+    }
+    m_changed.notify_all();
+}
+
 void LeasedKey::release()
 {
     {
@@ -43,14 +53,15 @@
 {
     std::unique_lock lock(m_mutex);
     while (!m_isReleased) {
+        const bool isRewritten = m_isChanged && m_lease != 0;
         lock.unlock();
-        const bool isAlive = m_lease != 0 ? renew() : publish();
+        const bool isAlive = isRewritten ? rewrite() : m_lease != 0 ? renew() : publish();
         lock.lock();
         const core::Duration pause
                 = isAlive ? core::Duration(m_lifetime) / renewalsPerLifetime : m_backOff.next();
         if (isAlive)
             m_backOff.reset();
-        m_changed.wait_for(lock, pause, [this] { return m_isReleased; });
+        m_changed.wait_for(lock, pause, [&] { return m_isReleased || (isAlive && m_isChanged); });
     }
     lock.unlock();
     revoke();
@@ -73,12 +84,32 @@
     const core::Result<Lease> lease = m_store.grantLease(m_purpose, m_lifetime);
     if (!lease)
         return fail(lease.error());
+    return write(lease->id);
+}
+
+bool LeasedKey::rewrite()
+{
+    if (write(m_lease))
+        return true;
+    // Whether the lease still lives is not known.
+    m_lease = 0;
+    return false;
+}
+
+bool LeasedKey::write(std::int64_t lease)
+{
+    std::string value;
+    {
+        const std::lock_guard lock(m_mutex);
+        value = m_value;
+        m_isChanged = false;
+    }
     const core::Result<TransactionResult> written
-            = m_store.transact(m_purpose, {}, {Write {m_key, m_value, lease->id}});
+            = m_store.transact(m_purpose, {}, {Write {m_key, value, lease}});
     // After a lost answer the key may exist already; writing it once more changes nothing.
     if (!written)
         return fail(written.error());
-    m_lease = lease->id;
+    m_lease = lease;
     return true;
 }
 
--- a/modules/sardinehollow_platform/lease/LeasedKey.h
+++ b/modules/sardinehollow_platform/lease/LeasedKey.h
@@ -16,7 +16,8 @@
 class LeasedKey
 {
 public:
-    /** Called on the thread of the key when the store did not answer or refused; also at its end. */
+    /** Called on the thread of the key when the store did not answer or refused; also at its end.
+     */
     using FailureHandler = std::function<void(const core::Error &)>;
 
     /** Without renewal the key vanishes after the lifetime. The seed spreads repeats. */
@@ -24,6 +25,8 @@
               std::chrono::seconds lifetime, std::uint64_t seed, FailureHandler onFailure);
     ~LeasedKey();
 
+    /** Replaces the value of the key; returns at once. */
+    void update(std::string value);
     /** Removes the key and stops renewing it; returns at once. */
     void release();
 
@@ -32,13 +35,15 @@
     /** Returns whether the key is in the store under a living lease. */
     bool renew();
     bool publish();
+    bool rewrite();
+    /** Writes the value under a lease that lives. */
+    bool write(std::int64_t lease);
     void revoke();
     bool fail(const core::Error &error);
 
     KeyValueStore &m_store;
     const CallPurpose m_purpose;
     const std::string m_key;
-    const std::string m_value;
     const std::chrono::seconds m_lifetime;
     const FailureHandler m_onFailure;
     core::SeededRandom m_random;
@@ -48,6 +53,9 @@
     std::mutex m_mutex;
     std::condition_variable m_changed;
     bool m_isReleased = false;
+    std::string m_value;
+    /** The value differs from what was last written. */
+    bool m_isChanged = false;
     std::thread m_thread;
 };
 
--- a/modules/sardinehollow_routing/backends/BackendState.cpp
+++ b/modules/sardinehollow_routing/backends/BackendState.cpp
@@ -113,6 +113,7 @@
 
 void BackendState::onUnreachable(core::Instant now)
 {
+    m_unreachableAt = now;
     m_consecutiveFailures = std::max(m_consecutiveFailures, toleratedFailures - 1);
     onFailure(now);
 }
--- a/modules/sardinehollow_routing/backends/BackendState.h
+++ b/modules/sardinehollow_routing/backends/BackendState.h
@@ -67,6 +67,8 @@
      * request at a time finds out whether it is well again.
      */
     bool isAvoided(core::Instant now) const;
+    /** When a connection was last found impossible; 0 if never. */
+    core::Instant unreachableAt() const { return m_unreachableAt; }
     std::uint32_t consecutiveFailures() const { return m_consecutiveFailures; }
 
     bool isCold(core::Instant now) const { return now < m_coldUntil; }
@@ -93,6 +95,7 @@
     std::size_t m_senders = 1;
     std::uint32_t m_consecutiveFailures = 0;
     core::Instant m_avoidUntil {0};
+    core::Instant m_unreachableAt {0};
     core::Instant m_coldUntil {0};
     TokenBucket m_coldPermits;
 };
--- a/modules/sardinehollow_routing/state/RoutingState.h
+++ b/modules/sardinehollow_routing/state/RoutingState.h
@@ -5,6 +5,7 @@
 #include "sardinehollow_routing/budgets/RetryBudget.h"
 #include "sardinehollow_routing/configuration/RouteTable.h"
 #include "sardinehollow_routing/entries/EntryDirectory.h"
+#include "sardinehollow_routing/quarantine/RequestQuarantine.h"
 #include "sardinehollow_routing/selection/ServerSelector.h"
 #include "sardinehollow_routing/state/RoutingSettings.h"
 
@@ -29,6 +30,8 @@
 
     BackendRegistry &backends() { return m_backends; }
     EntryDirectory &entries() { return m_entries; }
+    RequestQuarantine &quarantine() { return m_quarantine; }
+    const RequestQuarantine &quarantine() const { return m_quarantine; }
     const BackendRegistry &backends() const { return m_backends; }
     const EntryDirectory &entries() const { return m_entries; }
 
@@ -59,6 +62,7 @@
     EntryDirectory m_entries;
     ServerSelector m_selector;
     RetryBudget m_retries;
+    RequestQuarantine m_quarantine;
 };
 
 } // namespace sardinehollow::routing
--- a/tests/adapter/GatewayContractTest.cpp
+++ b/tests/adapter/GatewayContractTest.cpp
@@ -1,4 +1,5 @@
 #include "adapter/GatewayFixture.h"
+#include "sardinehollow_gateway/application/EntryCodec.h"
 
 #include <catch2/catch.hpp>
 
@@ -141,6 +142,50 @@
     CHECK(fixture.call("POST", "/unsafe/x", "id-9", "data").status == 200);
 }
 
+TEST_CASE("A request that crashes the servers that run it is refused before it reaches a third")
+{
+    std::vector<std::unique_ptr<RawServer>> servers;
+    GatewayFixture fixture;
+    fixture.putConfiguration(1, routes);
+    for (const std::string id : {"s0", "s1", "s2", "s3", "s4"}) {
+        servers.push_back(std::make_unique<RawServer>([](const std::string &head) {
+            const bool isCrash = head.find("/safe/crash") != std::string::npos;
+            return isCrash ? Reply {"", true} : Reply {GatewayFixture::answer(head, "body")};
+        }));
+        fixture.putServer(id, *servers.back());
+    }
+    fixture.start();
+    fixture.waitForServers(5);
+    CHECK(fixture.call("GET", "/safe/crash", "id-1").status == 502);
+    int crashed = 0;
+    for (std::size_t index = 0; index < servers.size(); ++index) {
+        if (countOf(*servers[index], "/safe/crash") == 0)
+            continue;
+        ++crashed;
+        fixture.erase("servers/s" + std::to_string(index));
+    }
+    REQUIRE(crashed == 2);
+    fixture.waitForMetric("quarantined_requests", 1);
+    CHECK(fixture.call("GET", "/safe/crash", "id-2").status == 503);
+    CHECK(fixture.call("GET", "/safe/other", "id-3").status == 200);
+    std::size_t runs = 0;
+    for (const auto &server : servers)
+        runs += countOf(*server, "/safe/crash");
+    CHECK(runs == 2);
+    // The others learn of the deaths from this daemon's entry.
+    std::size_t reported = 0;
+    while (reported < 2) {
+        const auto found = fixture.store.range(platform::CallPurpose::Operator,
+                                               "sardinehollow/entries/", true);
+        REQUIRE(found);
+        REQUIRE(found->keyValues.size() == 1);
+        const auto entry = gateway::decodeEntry(found->keyValues.front().value);
+        REQUIRE(entry);
+        reported = entry->crashReports.size();
+        std::this_thread::sleep_for(10ms);
+    }
+}
+
 TEST_CASE("A late response to an earlier request is dropped")
 {
     // Guards against a response that belongs to another request (an extra one that came late).
--- a/tests/adapter/GatewayFixture.h
+++ b/tests/adapter/GatewayFixture.h
@@ -82,6 +82,13 @@
                       R"("status":{"state":"ready","seq":1,"coldLeftS":0}})");
     }
 
+    /** Removes a key, as the store does when its writer is gone. */
+    void erase(const std::string &key)
+    {
+        store.transact(platform::CallPurpose::Operator, {},
+                       {platform::Write {key, std::nullopt, 0}});
+    }
+
     void start()
     {
         application = std::make_unique<gateway::GatewayApplication>(
@@ -93,9 +100,11 @@
     }
 
     /** Waits until the daemon knows the given number of backend servers. */
-    void waitForServers(int count = 1)
+    void waitForServers(int count = 1) { waitForMetric("backend_servers", count); }
+
+    void waitForMetric(const std::string &name, int value)
     {
-        const std::string line = "\nsardinehollow_backend_servers " + std::to_string(count) + "\n";
+        const std::string line = "\nsardinehollow_" + name + " " + std::to_string(value) + "\n";
         while (get(settings.metricsAddress, "/metrics").body.find(line) == std::string::npos)
             std::this_thread::sleep_for(std::chrono::milliseconds(10));
     }
--- a/tests/gateway/PrefixMirrorTest.cpp
+++ b/tests/gateway/PrefixMirrorTest.cpp
@@ -137,6 +137,32 @@
     waitForKey(false);
 }
 
+TEST_CASE("A new value of a leased key is written, also after an outage that ended the lease")
+{
+    const bool hasOutage = GENERATE(false, true);
+    CAPTURE(hasOutage);
+    tests::FakeStore store;
+    platform::LeasedKey key(store, CallPurpose::Entries, "entries/one", "old", 1s, 1,
+                            [](const core::Error &) {});
+    const auto waitForValue = [&](const std::string &value) {
+        for (;;) {
+            const auto found = store.range(CallPurpose::Operator, "entries/one", false);
+            if (found && !found->keyValues.empty() && found->keyValues.front().value == value)
+                return;
+            std::this_thread::sleep_for(1ms);
+        }
+    };
+    waitForValue("old");
+    store.outage = hasOutage;
+    key.update("new");
+    if (hasOutage) {
+        std::this_thread::sleep_for(20ms);
+        store.advance(2s);
+        store.outage = false;
+    }
+    waitForValue("new");
+}
+
 TEST_CASE("A key that cannot be removed at its end is reported")
 {
     tests::FakeStore store;
