Remove spill credits and link budgets, which nothing used

Cause: both were classes of the policy module with tests and benchmarks that the daemon never used, and on the users' platform the share of objects that leaves a region (record 0061) has their task.

Removed: sardinehollow_policy/credits and links, CreditLedgerTest and LinkBudgetTest with their subject, two benchmarks, the refusal reason link-budget, their rows in the pages. Records 0022 and 0025 stay and say so. PermitHolder, which the caps of shifts use, moved to shift/.

Ruled out: wiring them; the users ask to remove or shrink what the platform makes needless.

--- a/benchmarks/RegionsBenchmark.cpp
+++ b/benchmarks/RegionsBenchmark.cpp
@@ -1,6 +1,4 @@
 #include "sardinehollow_core/random/SeededRandom.h"
-#include "sardinehollow_policy/credits/CreditLedger.h"
-#include "sardinehollow_policy/links/LinkBudget.h"
 #include "sardinehollow_policy/lookup/CallerHash.h"
 #include "sardinehollow_policy/lookup/ClientBlockChanges.h"
 #include "sardinehollow_policy/lookup/ClientBlockTable.h"
@@ -189,27 +187,6 @@
     }
 }
 
-void answerCreditRequest(benchmark::State &state)
-{
-    policy::CreditLedger ledger({"pool", "owner", 1}, 0s);
-    ledger.setSlots(100, 10, 0s);
-    const auto askers = static_cast<std::uint64_t>(state.range(0));
-    core::Instant now = 2s;
-    for (core::Instant time = 0s; time <= now; time += 1s)
-        ledger.advance(time);
-    std::uint64_t sequence = 0;
-    for (auto _ : state) {
-        ++sequence;
-        now += 1ms;
-        const std::uint64_t asker = sequence % askers;
-        policy::CreditRequest request {"pool",   "vm-" + std::to_string(asker),
-                                       1,        "failure-domain-" + std::to_string(asker % 95),
-                                       sequence, 8,
-                                       0};
-        benchmark::DoNotOptimize(ledger.onRequest(request, now));
-    }
-}
-
 // Virtual time: daemons with more shifted requests than the cap allows; reports the share of the
 // cap that is used.
 void useCap(benchmark::State &state)
@@ -244,27 +221,13 @@
     state.counters["share_of_cap"] = admitted / seconds / cap;
 }
 
-void askLink(benchmark::State &state)
-{
-    policy::LinkBudget budget({0.0, 0.2, 0.1}, {}, 0s);
-    budget.setRate(3'000'000, 0s);
-    core::Instant now = 4s;
-    std::size_t rank = 0;
-    for (auto _ : state) {
-        now += 1ms;
-        benchmark::DoNotOptimize(budget.ask(rank++ % 3, 4096, now));
-    }
-}
-
 BENCHMARK(lookUpBlock)->Arg(Neighbours)->Arg(Nested)->Arg(Gaps)->Arg(Ipv6);
 BENCHMARK(rebuildTable)->Arg(Gaps)->Arg(Ipv6)->Unit(benchmark::kMillisecond);
 BENCHMARK(findChanges)->Unit(benchmark::kMillisecond);
 BENCHMARK(changeTable)->Arg(1)->Arg(10)->Arg(100)->Unit(benchmark::kMillisecond);
 BENCHMARK(makePlanner)->Unit(benchmark::kMillisecond);
 BENCHMARK(planLookUp);
-BENCHMARK(answerCreditRequest)->Arg(12)->Arg(95)->Arg(1200);
 BENCHMARK(useCap)->Arg(2)->Arg(12)->Unit(benchmark::kMillisecond);
-BENCHMARK(askLink);
 
 } // namespace
 
--- a/modules/sardinehollow_daemon/steering/ShiftAdmission.cpp
+++ b/modules/sardinehollow_daemon/steering/ShiftAdmission.cpp
@@ -23,7 +23,7 @@
 
 } // namespace
 
-ShiftAdmission::ShiftAdmission(const std::string &shift, policy::CreditHolder holder)
+ShiftAdmission::ShiftAdmission(const std::string &shift, policy::PermitHolder holder)
     : m_holder(std::move(holder))
     , m_hash(core::stableHash(shift))
     , m_wallet({shift, m_holder})
--- a/modules/sardinehollow_daemon/steering/ShiftAdmission.h
+++ b/modules/sardinehollow_daemon/steering/ShiftAdmission.h
@@ -20,7 +20,7 @@
 class ShiftAdmission
 {
 public:
-    ShiftAdmission(const std::string &shift, policy::CreditHolder holder);
+    ShiftAdmission(const std::string &shift, policy::PermitHolder holder);
 
     /** Takes over the shift as of a newer configuration. */
     void configure(const config::Shift &shift, std::uint32_t capPerSecond, std::uint64_t generation,
@@ -66,7 +66,7 @@
     bool take(core::Instant now);
     std::uint32_t wanted(core::Instant now);
 
-    const policy::CreditHolder m_holder;
+    const policy::PermitHolder m_holder;
     const std::uint64_t m_hash;
     config::Shift m_shift;
     std::uint32_t m_cap = 0;
--- a/modules/sardinehollow_daemon/steering/ShiftService.cpp
+++ b/modules/sardinehollow_daemon/steering/ShiftService.cpp
@@ -135,7 +135,7 @@
             auto node = m_admissions.extract(shift.name);
             if (node.empty())
                 admissions.try_emplace(shift.name, shift.name,
-                                       policy::CreditHolder {m_identity.vm, nextIncarnation()});
+                                       policy::PermitHolder {m_identity.vm, nextIncarnation()});
             else
                 admissions.insert(std::move(node));
             admissions.at(shift.name)
--- a/modules/sardinehollow_policy/reasons/RefusalReason.cpp
+++ b/modules/sardinehollow_policy/reasons/RefusalReason.cpp
@@ -19,7 +19,6 @@
                 {RefusalReason::OwnershipHoldOff, "ownership-hold-off"},
                 {RefusalReason::NotOwner, "not-owner"},
                 {RefusalReason::ShiftCap, "shift-cap"},
-                {RefusalReason::LinkBudget, "link-budget"},
                 {RefusalReason::RetryBudget, "retry-budget"},
                 {RefusalReason::Quarantined, "quarantined"},
                 {RefusalReason::BackendShed, "backend-shed"},
--- a/modules/sardinehollow_policy/reasons/RefusalReason.h
+++ b/modules/sardinehollow_policy/reasons/RefusalReason.h
@@ -19,7 +19,6 @@
     OwnershipHoldOff,
     NotOwner,
     ShiftCap,
-    LinkBudget,
     RetryBudget,
     Quarantined,
     BackendShed,
--- a/modules/sardinehollow_policy/shift/CapEnforcer.h
+++ b/modules/sardinehollow_policy/shift/CapEnforcer.h
@@ -74,7 +74,7 @@
     CapWindow m_window;
     /** The current cap last, before it those that some holder may still act upon. */
     std::vector<Cap> m_caps;
-    std::map<CreditHolder, Account> m_accounts;
+    std::map<PermitHolder, Account> m_accounts;
 };
 
 } // namespace sardinehollow::policy
--- a/modules/sardinehollow_policy/credits/CreditHolder.h
+++ b/modules/sardinehollow_policy/shift/PermitHolder.h
@@ -6,13 +6,13 @@
 
 namespace sardinehollow::policy {
 
-/** One run of a daemon that holds credits or permits; a restarted daemon is another holder. */
-struct CreditHolder
+/** One run of a daemon that holds permits; a restarted daemon is another holder. */
+struct PermitHolder
 {
     std::string vm;
     std::uint64_t incarnation = 0;
 
-    auto operator<=>(const CreditHolder &) const = default;
+    auto operator<=>(const PermitHolder &) const = default;
 };
 
 } // namespace sardinehollow::policy
--- a/modules/sardinehollow_policy/shift/PermitRequest.h
+++ b/modules/sardinehollow_policy/shift/PermitRequest.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "sardinehollow_policy/credits/CreditHolder.h"
+#include "sardinehollow_policy/shift/PermitHolder.h"
 
 #include <cstdint>
 #include <string>
@@ -11,7 +11,7 @@
 struct PermitRequest
 {
     std::string shift;
-    CreditHolder holder;
+    PermitHolder holder;
     /** Incarnation of the cap enforcer that the permits held came from; 0 if none. */
     std::uint64_t enforcerIncarnation = 0;
     /** Configuration in force at the holder; acknowledges earlier changes of the cap. */
--- a/modules/sardinehollow_policy/shift/PermitWalletSettings.h
+++ b/modules/sardinehollow_policy/shift/PermitWalletSettings.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "sardinehollow_core/time/Instant.h"
-#include "sardinehollow_policy/credits/CreditHolder.h"
+#include "sardinehollow_policy/shift/PermitHolder.h"
 
 #include <string>
 
@@ -11,7 +11,7 @@
 struct PermitWalletSettings
 {
     std::string shift;
-    CreditHolder holder;
+    PermitHolder holder;
     /** Taken off the lifetime of permits; covers the drift of clocks. */
     core::Duration margin = std::chrono::milliseconds(50);
     /** Time between two requests at least. Frequent reports free the cap sooner. */
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -124,7 +124,7 @@
         f"{membership / 1000:.2f} KB/s for a relay. A restarted daemon loads all parts of the configuration (estimated at 30 MB for {BLOCKS:,} blocks) from its peers or the store.")
     add("- A rack or a failure domain lost: its summaries end; other relays notice after five silent intervals (24 s at 95 failure domains), callers at once, since a "
         "look-up answer names entries in two failure domains. Nothing is sent on account of it but the changed look-up answers.")
-    add("- Regions parted for an hour: summaries and credits lapse, each side goes on; about 150 changes wait. On return the relay that is behind gets the newest generation, "
+    add("- Regions parted for an hour: summaries lapse, each side goes on; about 150 changes wait. On return the relay that is behind gets the newest generation, "
         "as a delta if the base is known, else by parts; no backlog of changes is kept or replayed.")
     add("- Store down: no calls but retries with growing pauses; claims of kinds with `in-memory` collect in the owner's bounded memory and are written on return.")
     add("")
@@ -162,7 +162,7 @@
     add("")
     add("## Not measured")
     add("")
-    add("More than 24 daemons, more than 8 failure domains, real links between regions, 1 million look-ups a second, link budgets and spill credits (not wired into the daemon), "
+    add("More than 24 daemons, more than 8 failure domains, real links between regions, 1 million look-ups a second, "
         "quarantine notices between processes, changes too large for the head, a restart of a whole failure domain at 1.1 million blocks.")
     return "\n".join(lines) + "\n"
 
