--- a/apps/sardinehollowctl/Main.cpp
+++ b/apps/sardinehollowctl/Main.cpp
@@ -28,11 +28,15 @@
                    [--author NAME] [--message TEXT]
   sardinehollowctl status --daemons LIST [--json]
   sardinehollowctl lookup --entry ADDRESS --kind KIND [--caller IP]
+  sardinehollowctl platform status --store ADDRESS [--daemons LIST] [--json]
+  sardinehollowctl platform explain --store ADDRESS --region REGION --failure-domain NAME
+                   --host HOST --path PATH
   sardinehollowctl version
   sardinehollowctl (--help | --version)
 
 FILE is a configuration in JSON, or - for standard input. TARGET is vm, backend-server,
-failure-domain or region.
+failure-domain or region. The platform commands read the users' platform's store; their --daemons
+are metrics addresses.
 
 Options:
   --store LIST         Addresses of the platform's store, "IP:port", separated by commas.
@@ -54,6 +58,10 @@
   --entry ADDRESS      Caller address of any daemon.
   --kind KIND          Name of a work kind.
   --caller IP          Address of the caller; without it the address of this machine.
+  --region REGION      Region of the callers.
+  --failure-domain NAME  Failure domain of the callers.
+  --host HOST          Host of a request.
+  --path PATH          Path of a request.
   --json               Print JSON, one object on a line.
   --help               Show this text.
   --version            Show the version.
@@ -74,6 +82,7 @@
         {"shift", sardinehollow::apps::shiftCommand},
         {"status", sardinehollow::apps::statusCommand},
         {"lookup", sardinehollow::apps::lookupCommand},
+        {"platform", sardinehollow::apps::platformCommand},
 };
 
 } // namespace
@@ -85,6 +94,9 @@
                                                                argumentCount, arguments, exitCode);
     if (!options)
         return exitCode;
+    // Names of its subcommands are commands of their own.
+    if (options->at("platform").asBool())
+        return static_cast<int>(commands.at("platform")(*options));
     for (const auto &[name, command] : commands) {
         if (options->at(name).asBool())
             return static_cast<int>(command(*options));
--- a/modules/sardinehollow_core/http/HttpConnection.cpp
+++ b/modules/sardinehollow_core/http/HttpConnection.cpp
@@ -6,7 +6,6 @@
 
 #include <Poco/Net/HTTPHeaderStream.h>
 #include <Poco/Net/NetException.h>
-#include <Poco/NumberFormatter.h>
 
 #include <algorithm>
 #include <sstream>
@@ -53,20 +52,9 @@
 
 void HttpConnection::send(std::string_view bytes)
 {
-    // Counted before the call: a send that fails may have passed on a part.
-    m_bytesSent += bytes.size();
     SessionAccess::sendAll(*this, bytes.data(), bytes.size());
 }
 
-void HttpConnection::sendChunk(std::string_view bytes)
-{
-    std::string chunk = Poco::NumberFormatter::formatHex(static_cast<Poco::UInt64>(bytes.size()));
-    chunk += "\r\n";
-    chunk += bytes;
-    chunk += "\r\n";
-    send(chunk);
-}
-
 void HttpConnection::receiveHead(Poco::Net::HTTPResponse &response)
 {
     using Poco::Net::HTTPResponse;
--- a/modules/sardinehollow_platform/http/JsonClient.cpp
+++ b/modules/sardinehollow_platform/http/JsonClient.cpp
@@ -207,7 +207,6 @@
         m_idle.pop_back();
         // A readable idle connection has been closed by the server.
         if (now - idle.since < idleLimit && !idle.connection->isReadable()) {
-            idle.connection->startRequest();
             return std::move(idle.connection);
         }
     }
--- /dev/null
+++ b/scripts/platform_deployment.py
@@ -0,0 +1,306 @@
+"""Starts the stand-in's platform store, scripted backend servers and daemons of the users' platform."""
+
+import base64
+import http.server
+import json
+import os
+import socket
+import subprocess
+import tempfile
+import threading
+import time
+import urllib.error
+
+from deployment import ADDRESS, RESERVED_PORTS, http as call
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+# One loopback address for each daemon, since the template names a fixed metrics port.
+FIRST_DAEMON_NETWORK = 128
+METRICS_PORT = 9464
+
+
+def reserve(host):
+    """Returns a free port of a loopback address of this process."""
+    while True:
+        with socket.socket() as item:
+            item.bind((host, 0))
+            port = item.getsockname()[1]
+        if (host, port) not in RESERVED_PORTS:
+            RESERVED_PORTS.add((host, port))
+            return f"{host}:{port}"
+
+
+class Store:
+    """The operators' and servers' side of the platform's store."""
+
+    def __init__(self, address):
+        self.address = address
+
+    def write(self, puts=(), deletes=()):
+        """Applies writes; returns whether the store has acknowledged them."""
+        body = {"expect": [], "deletes": list(deletes), "puts": [
+            {"key": key, "value": base64.b64encode(value.encode()).decode(), "lease": lease}
+            for key, value, lease in puts]}
+        return self.post("/sardinehollow/kv-txn", body)[0] == 200
+
+    def put(self, key, value, lease=0):
+        return self.write(puts=[(key, value, lease)])
+
+    def delete(self, key):
+        return self.write(deletes=[key])
+
+    def post(self, path, body=None, method="POST"):
+        data = json.dumps(body).encode() if body is not None else b""
+        try:
+            status, _, text = call(self.address, path, method, {}, data, 2)
+        except (OSError, urllib.error.URLError):
+            return 0, {}
+        return status, json.loads(text) if text else {}
+
+
+class Backend:
+    """A backend server of the platform: registers itself, runs requests and counts the runs."""
+
+    def __init__(self, store, name, service, failure_domain, slots=6, work_seconds=0.01,
+                 address=None):
+        self.store = store
+        self.name = name
+        self.service = service
+        self.failure_domain = failure_domain
+        self.slots = slots
+        self.work_seconds = work_seconds
+        self.listen_address = address or reserve(ADDRESS)
+        # What the store names; a proxy may stand before the server.
+        self.address = self.listen_address
+        self.born = int(time.time() * 1000)
+        self.runs = []
+        self.running = 0
+        self.state = "ready"
+        self.lock = threading.Lock()
+        self.connections = set()
+        self.server = None
+
+    def start(self):
+        backend = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def setup(self):
+                super().setup()
+                with backend.lock:
+                    backend.connections.add(self.connection)
+
+            def finish(self):
+                with backend.lock:
+                    backend.connections.discard(self.connection)
+                try:
+                    super().finish()
+                except OSError:
+                    pass  # The daemon has reset the connection.
+
+            def handle(self):
+                try:
+                    super().handle()
+                except OSError:
+                    pass  # The daemon has reset the connection.
+
+            def do_GET(self):
+                backend.serve(self)
+
+            do_POST = do_GET
+
+            def log_message(self, *arguments):
+                pass
+
+        class Server(http.server.ThreadingHTTPServer):
+            daemon_threads = True
+            allow_reuse_address = True
+            request_queue_size = 128
+
+        host, port = self.listen_address.split(":")
+        self.server = Server((host, int(port)), Handler)
+        threading.Thread(target=self.server.serve_forever, args=(0.02,), daemon=True).start()
+        self.register()
+
+    def entry(self):
+        return json.dumps({
+            "address": self.address, "born": self.born,
+            "info": {"service": self.service, "version": "v1", "zone": self.failure_domain,
+                     "slots": self.slots},
+            "status": {"state": self.state, "seq": 1, "coldLeftS": 0}})
+
+    def register(self):
+        return self.store.put(f"servers/{self.name}", self.entry())
+
+    def serve(self, request):
+        length = int(request.headers.get("Content-Length", 0))
+        request.rfile.read(length)
+        attempt = request.headers.get("Attempt-Id", "")
+        if request.headers.get("Target-Instance", self.name) != self.name:
+            self.answer(request, 421, b"", {"Not-Executed": "1"}, attempt)
+            return
+        with self.lock:
+            is_full = self.running >= 2 * self.slots
+            if not is_full:
+                self.running += 1
+                self.runs.append((attempt, request.path))
+        if is_full:
+            self.answer(request, 503, b"", {"Not-Executed": "1"}, attempt)
+            return
+        try:
+            self.work(request)
+            body = f"{self.name} ran {attempt}".encode()
+            self.answer(request, 200, body, {"Server-Seal": f"{self.name}.{attempt}"}, attempt)
+        finally:
+            with self.lock:
+                self.running -= 1
+
+    def work(self, request):
+        time.sleep(self.work_seconds)
+
+    def answer(self, request, status, body, headers, attempt):
+        request.send_response(status)
+        for name, value in headers.items():
+            request.send_header(name, value)
+        request.send_header("Attempt-Id", attempt)
+        request.send_header("Server-Load", f"{min(self.running, self.slots)},"
+                                           f"{max(0, self.running - self.slots)},{self.slots}")
+        request.send_header("Content-Length", str(len(body)))
+        request.end_headers()
+        request.wfile.write(body)
+
+    def stop(self):
+        """Dies: listener and connections end at once."""
+        if self.server is None:
+            return
+        self.server.shutdown()
+        self.server.server_close()
+        self.server = None
+        with self.lock:
+            connections = list(self.connections)
+        for connection in connections:
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # It has ended already.
+
+    def restart(self):
+        self.born = int(time.time() * 1000)
+        self.start()
+
+
+class PlatformDeployment:
+    """A store, daemons in the given failure domains, and what tests do to them."""
+
+    def __init__(self, build, regions):
+        """Regions by failure domain; one daemon for each domain named in order."""
+        self.build = build
+        self.regions = regions
+        self.directory = tempfile.TemporaryDirectory(prefix="sardinehollow-")
+        self.processes = {}
+        self.daemons = {}
+        self.store = Store(reserve(ADDRESS))
+        self.control = reserve(ADDRESS)
+
+    def path(self, name):
+        return os.path.join(self.directory.name, name)
+
+    def spawn(self, name, arguments):
+        with open(self.path(f"{name}.log"), "ab") as log:
+            self.processes[name] = subprocess.Popen(arguments, stdout=log, stderr=log)
+
+    def start_store(self):
+        with open(self.path("standin.json"), "w", encoding="utf-8") as file:
+            json.dump({"platformAddress": self.store.address, "controlAddress": self.control}, file)
+        self.spawn("standin", [os.path.join(self.build, "apps", "sardinehollow-standin"),
+                               "--config", self.path("standin.json")])
+        self.wait_until(lambda: self.store.post("/sardinehollow/kv-range?prefix=", None, "GET")[0])
+
+    def put_configuration(self, version, routes, services, limits=None):
+        value = {"version": version, "routes": routes,
+                 "services": {name: {"healthPath": "/health", "maxConns": 64, "coldPerS": 1000}
+                              for name in services},
+                 "limits": {"headerBytes": 16384, "bodyBytes": 1000000, "headerTimeoutS": 3,
+                            "idleTimeoutS": 15, **(limits or {})}}
+        return self.store.put("op/config", json.dumps(value))
+
+    def add_daemon(self, name, failure_domain, store_address=None):
+        """Writes the settings from the deployment's template and starts the daemon."""
+        host = ADDRESS.split(".")
+        host[1] = str(FIRST_DAEMON_NETWORK + len(self.daemons))
+        host = ".".join(host)
+        if name in self.daemons:
+            daemon = self.daemons[name]
+        else:
+            daemon = {"name": name, "failureDomain": failure_domain, "caller": reserve(host),
+                      "ready": reserve(host), "directory": reserve(host),
+                      "metrics": f"{host}:{METRICS_PORT}",
+                      "store": store_address or self.store.address}
+            self.daemons[name] = daemon
+        values = {"node": name, "zone": daemon["failureDomain"],
+                  "region": self.regions[daemon["failureDomain"]],
+                  "listen.front": daemon["caller"], "listen.ready": daemon["ready"],
+                  "listen.directory": daemon["directory"],
+                  "ip": daemon["metrics"].split(":")[0], "platform.address": daemon["store"],
+                  "zones|json": json.dumps(self.regions), "bounds.budgetRatio": "0.2",
+                  "bounds.budgetSlack": "60", "bounds.budgetWindowS": "10", "bounds.graceS": "6",
+                  "platform.ttlMinS": "1"}
+        with open(os.path.join(ROOT, "deploy", "settings.json.template"), encoding="utf-8") as file:
+            text = file.read()
+        for field, value in values.items():
+            text = text.replace("{{" + field + "}}", value)
+        with open(self.path(f"{name}.json"), "w", encoding="utf-8") as file:
+            file.write(text)
+        self.spawn(name, [os.path.join(self.build, "apps", "sardinehollowd-platform"),
+                          "--config", self.path(f"{name}.json")])
+
+    def is_ready(self, name):
+        try:
+            return call(self.daemons[name]["ready"], "/sardinehollow/ready", timeout=1)[0] == 200
+        except (OSError, urllib.error.URLError):
+            return False
+
+    def metric(self, name, metric):
+        text = call(self.daemons[name]["metrics"], "/metrics", timeout=2)[2].decode()
+        for line in text.splitlines():
+            if line.startswith(f"sardinehollow_{metric} "):
+                return float(line.split()[1])
+        return None
+
+    def control_command(self, *arguments):
+        done = subprocess.run([os.path.join(self.build, "apps", "sardinehollowctl"), *arguments],
+                              text=True, capture_output=True, check=False)
+        return done.returncode, done.stdout + done.stderr
+
+    @staticmethod
+    def wait_until(condition, seconds=30):
+        limit = time.monotonic() + seconds
+        while not condition():
+            if time.monotonic() > limit:
+                raise TimeoutError("the condition did not come about")
+            time.sleep(0.02)
+
+    def stop(self):
+        """Ends the processes that this object started, by their ids."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+        self.directory.cleanup()
+
+
+def route(name, service, kind="safe", timeout=3, homes=(), attempts=2):
+    """A route for all paths below /name/ of h.example."""
+    return {"host": "h.example", "prefix": f"/{name}/", "kind": kind, "timeoutS": timeout,
+            "targetLatencyS": 0.5, "priority": 0, "service": service, "maxAttempts": attempts,
+            "sticky": True, "homeRegions": list(homes)}
+
+
+def send(address, path, attempt, method="GET", body=None, deadline_ms=3000, caller_object="17",
+         timeout=5):
+    """Sends a caller's request; returns status, headers and body."""
+    headers = {"Host": "h.example", "Attempt-Id": attempt, "Cookie": f"Affinity-Key={caller_object}",
+               "Deadline-Ms": str(deadline_ms)}
+    return call(address, path, method, headers, body, timeout)
--- /dev/null
+++ b/tests/processes/platform_contract.py
@@ -0,0 +1,123 @@
+"""The daemon and the command line on the users' platform, as separate processes.
+
+Usage: platform_contract.py BUILD
+"""
+
+import json
+import pathlib
+import signal
+import sys
+import unittest
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+sys.path.insert(0, str(ROOT / "scripts"))
+from deployment import ADDRESS, free_ports  # noqa: E402
+from platform_deployment import Backend, PlatformDeployment, route, send  # noqa: E402
+
+BUILD = sys.argv.pop(1)
+REGIONS = {"east-a": "east", "west-a": "west"}
+
+
+class PlatformContract(unittest.TestCase):
+    """Two daemons and three backend servers, one of them draining and one with an odd entry."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.deployment = PlatformDeployment(BUILD, REGIONS)
+        cls.addClassCleanup(cls.deployment.stop)
+        cls.deployment.start_store()
+        cls.deployment.put_configuration(7, {
+            "look": route("look", "look-ups"),
+            "home": route("home", "look-ups", homes=["west"])}, ["look-ups"])
+        cls.backends = [Backend(cls.deployment.store, f"s-{domain}", "look-ups", domain)
+                        for domain in REGIONS]
+        for backend in cls.backends:
+            backend.start()
+            cls.addClassCleanup(backend.stop)
+        draining = Backend(cls.deployment.store, "s-draining", "look-ups", "east-a")
+        draining.state = "draining"
+        draining.register()
+        cls.deployment.store.put("servers/s-odd", json.dumps({"address": 17}))
+        for domain in REGIONS:
+            cls.deployment.add_daemon(f"vm-{domain}", domain)
+        for name in cls.deployment.daemons:
+            cls.deployment.wait_until(lambda: cls.deployment.is_ready(name))
+            cls.deployment.wait_until(
+                lambda: cls.deployment.metric(name, "entry_daemons") == len(REGIONS))
+
+    def control(self, *arguments):
+        return self.deployment.control_command("platform", *arguments)
+
+    def test_status_says_what_is_in_force_where(self):
+        """Guards against an operator who cannot see which daemon lags behind the store."""
+        metrics = [self.deployment.daemons[f"vm-{domain}"]["metrics"] for domain in REGIONS]
+        code, text = self.control("status", "--store", self.deployment.store.address, "--daemons",
+                                  ",".join(metrics), "--json")
+        self.assertEqual(code, 0, text)
+        lines = [json.loads(line) for line in text.splitlines()]
+        self.assertEqual(lines[0]["configuration"], 7)
+        self.assertEqual([row["vm"] for row in lines[0]["daemons"]], ["vm-east-a", "vm-west-a"])
+        self.assertEqual({(row["failureDomain"], row["ready"], row["draining"])
+                          for row in lines[0]["servers"]}, {("east-a", 1, 1), ("west-a", 1, 0)})
+        self.assertEqual(len(lines[0]["faults"]), 1)
+        self.assertIn("s-odd", lines[0]["faults"][0])
+        self.assertEqual([line["configuration"] for line in lines[1:]], ["7", "7"])
+
+    def test_explain_names_the_servers_that_may_run_a_request(self):
+        code, text = self.control(
+            "explain", "--store", self.deployment.store.address, "--region", "east",
+            "--failure-domain", "east-a", "--host", "h.example", "--path", "/home/x")
+        self.assertEqual(code, 0, text)
+        rows = {line.split()[0]: line for line in text.splitlines() if line.startswith("  ")}
+        self.assertIn("outside the route's home regions", rows["s-east-a"])
+        self.assertIn("may run it", rows["s-west-a"])
+        self.assertIn("draining", rows["s-draining"])
+        self.assertIn(self.deployment.daemons["vm-east-a"]["caller"], text.splitlines()[0])
+
+    def test_exit_codes(self):
+        nowhere = f"{ADDRESS}:{free_ports(1)[0]}"
+        store = self.deployment.store.address
+        place = ["--region", "east", "--failure-domain", "east-a", "--host", "h.example"]
+        table = [
+            (5, "check that the platform runs", "status", "--store", nowhere),
+            (5, "check the metrics address", "status", "--store", store, "--daemons", nowhere),
+            (1, "no route of configuration 7", "explain", "--store", store, *place, "--path", "/x"),
+            (2, "Usage", "explain", "--store", store),
+        ]
+        for code, text, *arguments in table:
+            with self.subTest(arguments=arguments):
+                done, output = self.control(*arguments)
+                self.assertEqual(done, code, output)
+                self.assertIn(text, output)
+
+    def test_daemons_serve_by_the_template_of_the_deployment(self):
+        """Guards against a settings template that the daemon does not understand."""
+        for number, daemon in enumerate(self.deployment.daemons.values()):
+            status, headers, body = send(daemon["caller"], "/look/x", f"own-{number}")
+            self.assertEqual(status, 200)
+            self.assertIn(f"ran own-{number}", body.decode())
+            self.assertIn(f"own-{number}", headers["Server-Seal"])
+
+    def test_settings_faults_are_reported_at_once(self):
+        path = self.deployment.path("broken.json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump({"vm": "x", "retryRatio": 7, "unknown": 1}, file)
+        program = [f"{BUILD}/apps/sardinehollowd-platform", "--config", path]
+        self.deployment.spawn("broken", program)
+        self.assertEqual(self.deployment.processes["broken"].wait(timeout=10), 3)
+        with open(self.deployment.path("broken.log"), encoding="utf-8") as file:
+            text = file.read()
+        for pointer in ("/callerAddress", "/storeAddress", "/retryRatio", "/unknown"):
+            self.assertIn(pointer, text)
+
+    def test_leaving_daemon_ends_by_itself(self):
+        self.deployment.add_daemon("vm-leaving", "east-a")
+        self.deployment.wait_until(lambda: self.deployment.is_ready("vm-leaving"))
+        process = self.deployment.processes["vm-leaving"]
+        process.send_signal(signal.SIGTERM)
+        self.deployment.wait_until(lambda: not self.deployment.is_ready("vm-leaving"))
+        self.assertEqual(process.wait(timeout=10), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
