Say in the log why a free server of another region got nothing

The selection is move-limited then. Test: 'A refusal says whether the other region had room'.

The three daemons' programs shared their start-up; apps/common has it once (SettingsFile, StopSignal).

--- a/apps/sardinehollow_standin/Main.cpp
+++ b/apps/sardinehollow_standin/Main.cpp
@@ -1,10 +1,9 @@
-#include "common/CommandLine.h"
-#include "common/ExitCode.h"
+#include "common/SettingsFile.h"
+#include "common/StopSignal.h"
 #include "sardinehollow_standin/control/Standin.h"
 
 #include <Poco/Exception.h>
 
-#include <csignal>
 #include <iostream>
 
 namespace {
@@ -28,15 +27,10 @@
 
 ExitCode runUntilSignal(const sardinehollow::standin::StandinSettings &settings)
 {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const sardinehollow::apps::StopSignal stop;
     try {
         const sardinehollow::standin::Standin standin(settings);
-        int received = 0;
-        sigwait(&signals, &received);
+        stop.wait();
     } catch (const Poco::Exception &exception) {
         std::cerr << "cannot start: " << exception.displayText()
                   << "; check that the addresses are free\n";
@@ -50,19 +44,10 @@
 int main(int argumentCount, char **arguments)
 {
     int exitCode = 0;
-    const auto options = sardinehollow::apps::parseCommandLine(usage, "sardinehollow-standin",
-                                                               argumentCount, arguments, exitCode);
-    if (!options)
+    const auto settings = sardinehollow::apps::loadSettings(
+            usage, "sardinehollow-standin", argumentCount, arguments,
+            sardinehollow::standin::readStandinSettings, exitCode);
+    if (!settings)
         return exitCode;
-    const auto text = sardinehollow::apps::readFile(options->at("--config").asString());
-    if (!text) {
-        std::cerr << "cannot read the settings file; check its path\n";
-        return static_cast<int>(ExitCode::Usage);
-    }
-    const auto settings = sardinehollow::standin::readStandinSettings(*text);
-    if (!settings) {
-        std::cerr << sardinehollow::config::toText(settings.error());
-        return static_cast<int>(ExitCode::Invalid);
-    }
     return static_cast<int>(runUntilSignal(*settings));
 }
--- a/apps/sardinehollowd/Main.cpp
+++ b/apps/sardinehollowd/Main.cpp
@@ -1,5 +1,5 @@
-#include "common/CommandLine.h"
-#include "common/ExitCode.h"
+#include "common/SettingsFile.h"
+#include "common/StopSignal.h"
 #include "sardinehollow_daemon/application/DaemonApplication.h"
 #include "sardinehollow_daemon/logging/JsonLogFormatter.h"
 
@@ -31,16 +31,11 @@
 
 ExitCode runUntilSignal(const sardinehollow::config::DaemonSettings &settings)
 {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const sardinehollow::apps::StopSignal stop;
     std::signal(SIGPIPE, SIG_IGN);
     try {
         sardinehollow::daemon::DaemonApplication application(settings);
-        int received = 0;
-        sigwait(&signals, &received);
+        stop.wait();
         application.drain();
     } catch (const Poco::Exception &exception) {
         std::cerr << "cannot start: " << exception.displayText()
@@ -59,20 +54,11 @@
 int main(int argumentCount, char **arguments)
 {
     int exitCode = 0;
-    const auto options = sardinehollow::apps::parseCommandLine(usage, "sardinehollowd",
-                                                               argumentCount, arguments, exitCode);
-    if (!options)
+    const auto settings = sardinehollow::apps::loadSettings(
+            usage, "sardinehollowd", argumentCount, arguments,
+            sardinehollow::config::readDaemonSettings, exitCode);
+    if (!settings)
         return exitCode;
-    const auto text = sardinehollow::apps::readFile(options->at("--config").asString());
-    if (!text) {
-        std::cerr << "cannot read the settings file; check its path\n";
-        return static_cast<int>(ExitCode::Usage);
-    }
-    const auto settings = sardinehollow::config::readDaemonSettings(*text);
-    if (!settings) {
-        std::cerr << sardinehollow::config::toText(settings.error());
-        return static_cast<int>(ExitCode::Invalid);
-    }
     if (settings->logJson)
         spdlog::set_formatter(std::make_unique<sardinehollow::daemon::JsonLogFormatter>());
     return static_cast<int>(runUntilSignal(*settings));
--- a/apps/sardinehollowd_platform/Main.cpp
+++ b/apps/sardinehollowd_platform/Main.cpp
@@ -1,5 +1,4 @@
-#include "common/CommandLine.h"
-#include "common/ExitCode.h"
+#include "common/SettingsFile.h"
 #include "platform/KvStore.h"
 #include "platform/PlatformProtocol.h"
 #include "platform/PlatformSchema.h"
@@ -75,19 +74,10 @@
     for (const int signal : {SIGTERM, SIGINT, SIGHUP})
         std::signal(signal, handleSignal);
     int exitCode = 0;
-    const auto options = sardinehollow::apps::parseCommandLine(usage, "sardinehollowd-platform",
-                                                               argumentCount, arguments, exitCode);
-    if (!options)
+    const auto settings = sardinehollow::apps::loadSettings(
+            usage, "sardinehollowd-platform", argumentCount, arguments,
+            sardinehollow::gateway::readGatewaySettings, exitCode);
+    if (!settings)
         return exitCode;
-    const auto text = sardinehollow::apps::readFile(options->at("--config").asString());
-    if (!text) {
-        std::cerr << "cannot read the settings file; check its path\n";
-        return static_cast<int>(ExitCode::Usage);
-    }
-    const auto settings = sardinehollow::gateway::readGatewaySettings(*text);
-    if (!settings) {
-        std::cerr << sardinehollow::config::toText(settings.error());
-        return static_cast<int>(ExitCode::Invalid);
-    }
     return static_cast<int>(serve(*settings));
 }
--- a/modules/sardinehollow_routing/selection/Selection.h
+++ b/modules/sardinehollow_routing/selection/Selection.h
@@ -19,6 +19,8 @@
     NoServer,
     /** All servers that may be used are full. */
     Overloaded,
+    /** The region is full, and no more of its requests may move to other regions at present. */
+    MoveLimited,
 };
 
 std::string_view toName(SelectionReason reason);
--- a/modules/sardinehollow_routing/selection/ServerSelector.cpp
+++ b/modules/sardinehollow_routing/selection/ServerSelector.cpp
@@ -140,6 +140,7 @@
             chosen = candidate.server;
     }
     bool prefersFar = false;
+    bool isMoveLimited = false;
     // Without a choice between regions there is no move to slow down.
     if (hasNear && hasFar) {
         SpillRamp &ramp = m_ramps[service];
@@ -148,7 +149,8 @@
         prefersFar = position < inputs.spillLevel && !route.isBulk && ramp.mayFollowLevel(now);
         if (!prefersFar)
             ramp.observe(near != nullptr, now);
-        if (!prefersFar && !near && !ramp.mayOverflow())
+        isMoveLimited = far && !prefersFar && !near && !ramp.mayOverflow();
+        if (isMoveLimited)
             far = nullptr;
         if (near || far)
             ramp.onSent(!near || (prefersFar && far), now);
@@ -157,7 +159,8 @@
         return {far, SelectionReason::FarHome, inputs};
     if (near)
         return {near, SelectionReason::NearHome, inputs};
-    return {nullptr, SelectionReason::Overloaded, inputs};
+    return {nullptr, isMoveLimited ? SelectionReason::MoveLimited : SelectionReason::Overloaded,
+            inputs};
 }
 
 Selection ServerSelector::pickAny(const Route &route, const std::vector<Candidate> &ranked,
--- a/tests/platform/StoreFaultTest.cpp
+++ b/tests/platform/StoreFaultTest.cpp
@@ -125,7 +125,8 @@
     REQUIRE(store.transact(purpose, {{key, 0}}, {{key, "value", 0}}));
     CHECK(store.callCounters().calls(platform::CallKind::Range, CallPurpose::Configuration) == 5);
     CHECK(store.callCounters().calls(platform::CallKind::Transaction, purpose) == 1);
-    CHECK(store.callCounters().calls(platform::CallKind::Transaction, CallPurpose::Configuration) == 0);
+    CHECK(store.callCounters().calls(platform::CallKind::Transaction, CallPurpose::Configuration)
+          == 0);
     CHECK(callsOf(standin, "kv/range") == 5);
     CHECK(callsOf(standin, "kv/txn") == 1);
     const auto byPurpose = standin.platform().calls.toJson()->getObject("byPurpose");
--- a/tests/routing/SpillRampTest.cpp
+++ b/tests/routing/SpillRampTest.cpp
@@ -1,4 +1,5 @@
 #include "sardinehollow_routing/selection/SpillRamp.h"
+#include "routing/RoutingWorld.h"
 
 #include "sardinehollow_core/random/SeededRandom.h"
 
@@ -77,6 +78,31 @@
 
 } // namespace
 
+TEST_CASE("A refusal says whether the other region had room")
+{
+    // Both looked the same in the log, so that it was not clear why a free server got nothing.
+    tests::RoutingWorld world;
+    routing::BackendState &near = world.add("near", "east-a");
+    routing::BackendState &far = world.add("far", "west-a");
+    // Settles with all requests near, so that hardly any may leave afterwards.
+    for (int count = 0; count < 100; ++count) {
+        REQUIRE(world.choose(17).server);
+        world.now += 30ms;
+    }
+    const auto reasonOfFirstRefusal = [&world] {
+        for (int count = 0; count < 50; ++count) {
+            const routing::Selection selection = world.choose(17);
+            if (!selection.server)
+                return selection.reason;
+        }
+        return routing::SelectionReason::NoServer;
+    };
+    world.fill(near);
+    CHECK(reasonOfFirstRefusal() == routing::SelectionReason::MoveLimited);
+    world.fill(far);
+    CHECK(reasonOfFirstRefusal() == routing::SelectionReason::Overloaded);
+}
+
 TEST_CASE("The share of requests that leaves a region moves slowly at every rate of requests")
 {
     // With few requests for each daemon an average over a second let more leave than the level
