--- a/modules/sardinehollow_entry/handlers/WorkExchange.cpp
+++ b/modules/sardinehollow_entry/handlers/WorkExchange.cpp
@@ -325,8 +325,9 @@
         ClaimAnswer answer {ClaimStart::Refuse, RefusalReason::DeadlinePassed, 0, {}, 0};
         if (context.services.clock.now() < claim.deadline)
             answer = context.services.claims.begin(claim);
-        context.loop.post([self = std::move(self), decision = std::move(decision),
-                           answer = std::move(answer)] { self->onClaimed(decision, answer); });
+        context.loop.post([self = std::move(self), decision, answer = std::move(answer)] {
+            self->onClaimed(decision, answer);
+        });
     });
 }
 
