Retry on a new connection what met a kept one as its server closed it

The server closes its connection after each response; the next request took it from the pool before the loop had seen its end.

Claims are released on a thread of the claim gate now, so that a repeat can meet the record between two of its calls: the creation failed and the record was gone when it was read. The key is claimed anew then. Test: StoreClaimGateTest, 'A repeat that meets a claim as it is released', failed first.

--- a/modules/sardinehollow_daemon/claims/StoreClaimGate.cpp
+++ b/modules/sardinehollow_daemon/claims/StoreClaimGate.cpp
@@ -30,6 +30,8 @@
 // request at once can be faster. Two calls to the store take a few milliseconds.
 constexpr std::array<core::Duration, 2> outcomePauses {std::chrono::milliseconds(20),
                                                        std::chrono::milliseconds(80)};
+// A key whose claim is released between two calls is claimed anew.
+constexpr int creationTries = 3;
 // Several times the store's time-out.
 constexpr std::chrono::seconds delayedWriteTime {5};
 
@@ -88,19 +90,25 @@
     }
     const std::string text = recordText(request.contentDigest, claimText(number), begunState, 0, "",
                                         expiry(request.retention));
-    const core::Result<platform::TransactionResult> created
-            = m_store.transact(purpose, {{key, 0}}, {{key, text, 0}});
-    if (created && created->succeeded)
-        return {ClaimStart::Proceed, RefusalReason::None, 0, {}, number};
-    if (created)
-        return readRecord(request, key, number, true);
-    if (created.error().kind == core::ErrorKind::ResultUnknown)
-        return readRecord(request, key, number, false);
+    for (int tries = 0; tries < creationTries; ++tries) {
+        const core::Result<platform::TransactionResult> created
+                = m_store.transact(purpose, {{key, 0}}, {{key, text, 0}});
+        if (created && created->succeeded)
+            return {ClaimStart::Proceed, RefusalReason::None, 0, {}, number};
+        if (!created && created.error().kind != core::ErrorKind::ResultUnknown)
+            break;
+        const std::optional<ClaimAnswer> answer
+                = readRecord(request, key, number, created.has_value());
+        if (answer)
+            return *answer;
+        // The claim that held the key was released meanwhile.
+    }
     return {ClaimStart::Refuse, RefusalReason::ClaimStoreUnavailable, 0, {}, number};
 }
 
-ClaimAnswer StoreClaimGate::readRecord(const entry::ClaimRequest &request, const std::string &key,
-                                       std::uint64_t number, bool heldByOther)
+std::optional<ClaimAnswer> StoreClaimGate::readRecord(const entry::ClaimRequest &request,
+                                                      const std::string &key, std::uint64_t number,
+                                                      bool heldByOther)
 {
     const ClaimAnswer inProgress {ClaimStart::Unknown, RefusalReason::KeyInProgress, 0, {}, number};
     for (std::size_t reads = 0;; ++reads) {
@@ -108,13 +116,16 @@
         if (!found && reads > 0)
             return inProgress;
         if (!found && heldByOther)
-            return {ClaimStart::Unknown, RefusalReason::ClaimUnaccounted, 0, {}, number};
+            return ClaimAnswer {
+                    ClaimStart::Unknown, RefusalReason::ClaimUnaccounted, 0, {}, number};
+        if (found && found->keyValues.empty() && heldByOther)
+            return std::nullopt;
         if (!found || found->keyValues.empty())
             return abandon(key, number);
         const std::optional<ClaimAnswer> answer
                 = answerFrom(found->keyValues.front().value, request, number);
         if (answer)
-            return *answer;
+            return answer;
         const bool mayWait = reads < outcomePauses.size()
                 && m_clock.now() + outcomePauses[reads] < request.deadline;
         if (!mayWait)
--- a/modules/sardinehollow_daemon/claims/StoreClaimGate.h
+++ b/modules/sardinehollow_daemon/claims/StoreClaimGate.h
@@ -57,8 +57,10 @@
         Failed,
     };
 
-    entry::ClaimAnswer readRecord(const entry::ClaimRequest &request, const std::string &key,
-                                  std::uint64_t number, bool heldByOther);
+    /** Returns nothing if the claim that held the key has been released. */
+    std::optional<entry::ClaimAnswer> readRecord(const entry::ClaimRequest &request,
+                                                 const std::string &key, std::uint64_t number,
+                                                 bool heldByOther);
     /** Answers from a record of another claim; nothing if its outcome may be about to be written.
      */
     std::optional<entry::ClaimAnswer> answerFrom(const std::string &record,
--- a/modules/sardinehollow_entry/forwarding/ForwardAttempt.cpp
+++ b/modules/sardinehollow_entry/forwarding/ForwardAttempt.cpp
@@ -347,6 +347,15 @@
                                      const std::string & /*detail*/)
 {
     m_connection = nullptr;
+    // The server closed a kept connection as the request went out (RFC 9112, 9.3.1). The next
+    // connection is a new one, so that this happens once.
+    const bool isStale = failure == network::AttemptFailure::Broken && m_isReused
+            && m_exchange.kind.idempotent && !m_exchange.isBodyGone && !m_result.responseStarted;
+    if (isStale) {
+        m_isRequestSent = false;
+        start();
+        return;
+    }
     if (failure == network::AttemptFailure::NotConnected)
         end(AttemptOutcome::ConnectFailed, RefusalReason::BackendUnreachable);
     else
--- a/modules/sardinehollow_network/client/ClientPool.h
+++ b/modules/sardinehollow_network/client/ClientPool.h
@@ -39,14 +39,19 @@
     {
         Server &server = m_servers[key];
         // The one used last is the least likely to have been closed by the server.
-        if (!server.idle.empty()) {
+        while (!server.idle.empty()) {
             Connection &latest = *server.idle.back();
             const core::Duration age = m_loop.now() - latest.idleSince();
-            if (age < std::min(idleLimit, latest.idleLimit())) {
-                server.idle.pop_back();
-                ++m_reused;
-                return latest;
+            if (age >= std::min(idleLimit, latest.idleLimit()))
+                break;
+            // The loop may not have seen yet that the server has closed it.
+            if (!latest.isQuiet()) {
+                latest.abandon();
+                continue;
             }
+            server.idle.pop_back();
+            ++m_reused;
+            return latest;
         }
         makeRoom(key);
         std::unique_ptr<Connection> connection
--- a/modules/sardinehollow_network/connection/BufferedConnection.cpp
+++ b/modules/sardinehollow_network/connection/BufferedConnection.cpp
@@ -49,6 +49,16 @@
         flush();
 }
 
+bool BufferedConnection::isQuiet() const
+{
+    if (!m_isOpen || !m_input.empty())
+        return false;
+    char byte = 0;
+    const ssize_t count
+            = ::recv(m_socket.impl()->sockfd(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 std::string BufferedConnection::peerHost() const
 {
     try {
--- a/modules/sardinehollow_network/connection/BufferedConnection.h
+++ b/modules/sardinehollow_network/connection/BufferedConnection.h
@@ -34,6 +34,8 @@
     std::size_t unsentBytes() const { return m_output.size() - m_sent; }
     bool isOpen() const { return m_isOpen; }
     bool isConnected() const { return m_isConnected; }
+    /** Whether the peer has sent nothing that was not read, and has not closed the connection. */
+    bool isQuiet() const;
     /** IP address of the peer; empty if the connection has ended. */
     std::string peerHost() const;
     /** Stops or resumes reading, to slow the peer down. */
--- a/tests/daemon/StoreClaimGateTest.cpp
+++ b/tests/daemon/StoreClaimGateTest.cpp
@@ -139,6 +139,18 @@
     CHECK(fixture.clock.now() < repeat.deadline);
 }
 
+TEST_CASE("A repeat that meets a claim as it is released runs")
+{
+    // It was refused as if the store could not be reached.
+    Fixture fixture;
+    entry::ClaimRequest request = Fixture::request();
+    REQUIRE(Fixture::begin(fixture.first, request) == ClaimStart::Proceed);
+    fixture.onWait = [&] { fixture.first.release(request); };
+    entry::ClaimRequest repeat = Fixture::request();
+    repeat.deadline = fixture.clock.now() + 1s;
+    CHECK(Fixture::begin(fixture.second, repeat) == ClaimStart::Proceed);
+}
+
 TEST_CASE("The late end of an earlier claim leaves a newer claim alone")
 {
     // An unguarded release deleted the newer claim, so that its key could run twice.
