Apply only the last change of a key within one report of the store

Cause: MemberTracker took the names it knows before it applied a report, and counted only removals of those.

The daemons' logs tell: those that got the write and the removal in two reports logged both, those that got them in one logged `server-ready` only, and the late request came from one of them each time. Ruled out: a silent watch and a throttled store thread, since every daemon had the report within 0.3 s.

The test "A server whose entry came and went within one report is not taken up" fails before.

--- a/modules/sardinehollow_gateway/application/MemberTracker.cpp
+++ b/modules/sardinehollow_gateway/application/MemberTracker.cpp
@@ -1,6 +1,6 @@
 #include "sardinehollow_gateway/application/MemberTracker.h"
 
-#include <algorithm>
+#include <map>
 #include <set>
 
 namespace sardinehollow::gateway {
@@ -26,21 +26,25 @@
 
 void MemberTracker::onChanged(const std::vector<platform::KeyValue> &keyValues)
 {
-    const std::vector<std::string> known = knownNames();
+    const std::vector<std::string> names = knownNames();
+    const std::set<std::string> known(names.begin(), names.end());
     std::size_t removed = 0;
-    std::set<std::string> missing;
+    // A key may come and go within one report; only its last change is applied.
+    std::map<std::string, const platform::KeyValue *> lastChanges;
     for (const platform::KeyValue &keyValue : keyValues) {
         const std::string name = nameOf(keyValue);
-        if (!keyValue.isDeleted) {
-            // The last change of a key within one report counts.
-            missing.erase(name);
-            put(name, keyValue);
-        } else if (std::find(known.begin(), known.end(), name) != known.end()) {
-            missing.insert(name);
+        if (keyValue.isDeleted && known.count(name) > 0)
             ++removed;
-        }
+        lastChanges[name] = &keyValue;
     }
-    onMissing({missing.begin(), missing.end()}, removed);
+    std::vector<std::string> missing;
+    for (const auto &[name, keyValue] : lastChanges) {
+        if (!keyValue->isDeleted)
+            put(name, *keyValue);
+        else if (known.count(name) > 0)
+            missing.push_back(name);
+    }
+    onMissing(missing, removed);
 }
 
 std::string MemberTracker::nameOf(const platform::KeyValue &keyValue) const
--- a/tests/adapter/ServerTrackerTest.cpp
+++ b/tests/adapter/ServerTrackerTest.cpp
@@ -85,3 +85,17 @@
     world.tracker.onSnapshot({});
     CHECK_FALSE(world.knows("b"));
 }
+
+TEST_CASE("A server whose entry came and went within one report is not taken up")
+{
+    // Guards against requests to a server that has left: only removals of entries that were known
+    // before the report counted, so the server stayed for good.
+    TrackerWorld world;
+    world.tracker.onSnapshot({TrackerWorld::entry("a")});
+    world.tracker.onChanged({TrackerWorld::entry("b"), TrackerWorld::removal("b")});
+    CHECK(world.knows("a"));
+    CHECK_FALSE(world.knows("b"));
+    world.tracker.onChanged({TrackerWorld::removal("a"), TrackerWorld::entry("a"),
+                             TrackerWorld::removal("a")});
+    CHECK_FALSE(world.knows("a"));
+}
