Clear a request of suspicion when its streamed answer is whole; test the retry of a stale connection

Cause: Exchange told the quarantine of an answer only where a response was delivered whole. A download of more than 512 KB whose two servers died by chance stayed quarantined for 60 s although it had been answered in between. The test "A streamed answer clears a request..." fails before (503).

The retry on a new connection after a kept one was closed under a request had no test of its own. "A look-up goes out again..." fails if the retry is taken out, and checks that it happens once. RawServer moves to tests/support.

--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -332,7 +332,7 @@
     m_backend = nullptr;
     const int status = m_response->getStatus();
     if (m_isStreaming) {
-        m_server->onSuccess();
+        noteAnswered();
         m_sink.finishResponse();
         finish(RequestOutcome::Delivered, status, "streamed");
         return;
@@ -359,9 +359,14 @@
         attempt();
         return;
     }
+    noteAnswered();
+    deliver();
+}
+
+void Exchange::noteAnswered()
+{
     m_server->onSuccess();
     m_services.routing.quarantine().onAnswered(m_requestHash);
-    deliver();
 }
 
 void Exchange::deliver()
--- a/modules/sardinehollow_gateway/exchange/Exchange.h
+++ b/modules/sardinehollow_gateway/exchange/Exchange.h
@@ -54,6 +54,8 @@
     bool mayRetry(RetryReason reason);
     void giveUp(RetryReason reason, const std::string &detail);
     void startStreaming();
+    /** The server answered the request whole. */
+    void noteAnswered();
     void deliver();
     void finish(RequestOutcome outcome, int status, const std::string &detail);
     void removeBackend();
--- a/tests/adapter/GatewayContractTest.cpp
+++ b/tests/adapter/GatewayContractTest.cpp
@@ -186,6 +186,52 @@
     }
 }
 
+TEST_CASE("A streamed answer clears a request of the suspicion that it crashes servers")
+{
+    // Guards against a quarantine of large downloads whose servers died by chance: only responses
+    // that were delivered whole counted as answers.
+    const std::string large(600'000, 'x');
+    std::atomic<int> crashesLeft {0};
+    std::map<std::string, std::unique_ptr<RawServer>> servers;
+    std::map<std::string, std::atomic<bool>> hasCrashed;
+    GatewayFixture fixture;
+    fixture.putConfiguration(1, routes);
+    for (const std::string id : {"s0", "s1", "s2", "s3", "s4", "s5"}) {
+        std::atomic<bool> &crashed = hasCrashed[id];
+        servers[id] = std::make_unique<RawServer>([&](const std::string &head) {
+            if (head.find("/safe/crash") == std::string::npos && crashesLeft-- <= 0)
+                return Reply {GatewayFixture::answer(head, large)};
+            crashed = true;
+            return Reply {"", true};
+        });
+        fixture.putServer(id, *servers[id]);
+    }
+    fixture.start();
+    fixture.waitForServers(6);
+    int alive = 6;
+    const auto eraseCrashed = [&] {
+        for (auto &[id, crashed] : hasCrashed) {
+            if (!crashed.exchange(false))
+                continue;
+            fixture.erase("servers/" + id);
+            --alive;
+        }
+        fixture.waitForServers(alive);
+    };
+    for (int round = 0; round < 2; ++round) {
+        crashesLeft = 1;
+        CHECK(fixture.call("GET", "/download/x", "id-" + std::to_string(round)).status == 200);
+        eraseCrashed();
+    }
+    // Once a request that does crash servers is refused, the deaths before have been looked at.
+    CHECK(fixture.call("GET", "/safe/crash", "id-2").status == 502);
+    eraseCrashed();
+    REQUIRE(alive == 2);
+    while (fixture.call("GET", "/safe/crash", "id-3").body.find("quarantined") == std::string::npos)
+        std::this_thread::sleep_for(10ms);
+    CHECK(fixture.call("GET", "/download/x", "id-4").status == 200);
+}
+
 TEST_CASE("A late response to an earlier request is dropped")
 {
     // Guards against a response that belongs to another request (an extra one that came late).
--- a/tests/adapter/GatewayFixture.h
+++ b/tests/adapter/GatewayFixture.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "adapter/RawServer.h"
+#include "support/RawServer.h"
 #include "platform/KvStore.h"
 #include "platform/PlatformProtocol.h"
 #include "platform/PlatformSchema.h"
--- a/tests/entry/BackendContractTest.cpp
+++ b/tests/entry/BackendContractTest.cpp
@@ -1,5 +1,6 @@
 #include "sardinehollow_standin/content/Content.h"
 #include "support/EntryFixture.h"
+#include "support/RawServer.h"
 #include "support/ScriptedServer.h"
 
 #include <catch2/catch.hpp>
@@ -95,6 +96,29 @@
     CHECK(fixture.get("/look").status == 200);
 }
 
+TEST_CASE("A look-up goes out again if the server closes the kept connection under it")
+{
+    // Guards against a 502 for a request that met a kept connection as its server closed it. The
+    // repeat is no attempt of its own, so it happens once and on a new connection.
+    std::atomic<int> requests {0};
+    std::atomic<int> closesAfterFirst {1};
+    tests::RawServer server([&](const std::string &) {
+        if (requests++ > 0 && closesAfterFirst-- > 0)
+            return tests::RawServer::Reply {"", true};
+        return tests::RawServer::Reply {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"};
+    });
+    tests::EntryFixture fixture({server.address()});
+    REQUIRE(fixture.get("/look").status == 200);
+    CHECK(fixture.get("/look").status == 200);
+    CHECK(fixture.pool().opened() == 2);
+    CHECK(server.heads().size() == 3);
+
+    // A new connection that breaks is not tried again.
+    closesAfterFirst = 2;
+    CHECK(fixture.get("/look").outcome() != "complete");
+    CHECK(server.heads().size() == 5);
+}
+
 TEST_CASE("A download that is cut goes on from another server and is whole")
 {
     standin::Standin standin(tests::backendSettings(2));
