Give objects to a cold server only once it is warm

Objects now stay with their warm servers until the cold one is warm. If the home near and the one far away have no room, a cold server comes before a refusal. A region whose servers are all cold uses them as before.

Tests "A cold server takes its objects once it is warm" and "Another region comes before a cold server..." fail before.

--- a/modules/sardinehollow_routing/selection/Selection.h
+++ b/modules/sardinehollow_routing/selection/Selection.h
@@ -13,7 +13,7 @@
     NearHome,
     /** The object's home in another region. */
     FarHome,
-    /** Any other server with room, for a repeated attempt. */
+    /** Another server with room: for a repeated attempt, or a cold one in place of a refusal. */
     Alternative,
     /** The service has no server that the request may run on. */
     NoServer,
--- a/modules/sardinehollow_routing/selection/ServerSelector.cpp
+++ b/modules/sardinehollow_routing/selection/ServerSelector.cpp
@@ -38,9 +38,9 @@
     if (ranked.empty())
         return {nullptr, SelectionReason::NoServer, {}};
     spreadPeerLoad(route, ranked);
-    const std::vector<Candidate> fit = usable(ranked, now);
-    return tried.empty() ? pickHome(route, service, objectHash, fit, now)
-                         : pickAny(route, fit, now);
+    const Usable servers = usable(ranked, now);
+    return tried.empty() ? pickHome(route, service, objectHash, servers, now)
+                         : pickAny(route, servers, now);
 }
 
 void ServerSelector::spreadPeerLoad(const Route &route, const std::vector<Candidate> &ranked) const
@@ -95,14 +95,16 @@
     return homes.empty() || std::find(homes.begin(), homes.end(), server.region()) != homes.end();
 }
 
-std::vector<ServerSelector::Candidate> ServerSelector::usable(const std::vector<Candidate> &ranked,
-                                                              core::Instant now) const
+ServerSelector::Usable ServerSelector::usable(const std::vector<Candidate> &ranked,
+                                              core::Instant now) const
 {
     const bool areAllAvoided
             = std::all_of(ranked.begin(), ranked.end(), [now](const Candidate &candidate) {
                   return candidate.server->isAvoided(now);
               });
-    std::vector<Candidate> fit;
+    Usable servers;
+    bool hasWarmNear = false;
+    bool hasWarmFar = false;
     for (const Candidate &candidate : ranked) {
         BackendState &server = *candidate.server;
         if (!areAllAvoided && server.isAvoided(now))
@@ -110,13 +112,23 @@
         // A cold server that has no permit left counts as absent: its objects go to the next one.
         if (server.isCold(now) && !server.coldPermits().hasPermit(now))
             continue;
-        fit.push_back(candidate);
+        servers.preferred.push_back(candidate);
+        if (!server.isCold(now))
+            (candidate.isNear ? hasWarmNear : hasWarmFar) = true;
     }
-    return fit;
+    // Objects stay with their warm servers until the cold one that takes them over is warm.
+    const auto firstCold = std::stable_partition(
+            servers.preferred.begin(), servers.preferred.end(), [&](const Candidate &candidate) {
+                return !candidate.server->isCold(now)
+                        || !(candidate.isNear ? hasWarmNear : hasWarmFar);
+            });
+    servers.cold.assign(firstCold, servers.preferred.end());
+    servers.preferred.erase(firstCold, servers.preferred.end());
+    return servers;
 }
 
 Selection ServerSelector::pickHome(const Route &route, const std::string &service,
-                                   std::uint64_t objectHash, const std::vector<Candidate> &ranked,
+                                   std::uint64_t objectHash, const Usable &servers,
                                    core::Instant now)
 {
     BackendStatePtr near;
@@ -126,7 +138,7 @@
     bool hasFar = false;
     std::size_t nearSeen = 0;
     std::size_t farSeen = 0;
-    for (const Candidate &candidate : ranked) {
+    for (const Candidate &candidate : servers.preferred) {
         std::size_t &seen = candidate.isNear ? nearSeen : farSeen;
         if (++seen > (candidate.isNear ? m_settings.nearHomes : m_settings.farHomes))
             continue;
@@ -159,20 +171,34 @@
         return {far, SelectionReason::FarHome, inputs};
     if (near)
         return {near, SelectionReason::NearHome, inputs};
+    // A late answer is better than none.
+    if (const BackendStatePtr cold = firstWithRoom(route, servers.cold, now))
+        return {cold, SelectionReason::Alternative, inputs};
     return {nullptr, isMoveLimited ? SelectionReason::MoveLimited : SelectionReason::Overloaded,
             inputs};
 }
 
-Selection ServerSelector::pickAny(const Route &route, const std::vector<Candidate> &ranked,
+Selection ServerSelector::pickAny(const Route &route, const Usable &servers,
                                   core::Instant now) const
 {
-    for (const Candidate &candidate : ranked) {
-        if (hasRoom(route, *candidate.server, now))
-            return {candidate.server, SelectionReason::Alternative, {}};
+    for (const std::vector<Candidate> *ranked : {&servers.preferred, &servers.cold}) {
+        if (const BackendStatePtr server = firstWithRoom(route, *ranked, now))
+            return {server, SelectionReason::Alternative, {}};
     }
     return {nullptr, SelectionReason::Overloaded, {}};
 }
 
+BackendStatePtr ServerSelector::firstWithRoom(const Route &route,
+                                              const std::vector<Candidate> &ranked,
+                                              core::Instant now) const
+{
+    const auto found = std::find_if(
+            ranked.begin(), ranked.end(), [&](const Candidate &candidate) {
+                return hasRoom(route, *candidate.server, now);
+            });
+    return found == ranked.end() ? nullptr : found->server;
+}
+
 bool ServerSelector::hasRoom(const Route &route, const BackendState &server,
                              core::Instant now) const
 {
--- a/tests/routing/ServerSelectorTest.cpp
+++ b/tests/routing/ServerSelectorTest.cpp
@@ -110,6 +110,47 @@
     CHECK(serverOf(world.choose(object)) == "neighbour");
 }
 
+TEST_CASE("A cold server takes its objects once it is warm")
+{
+    // Guards against late answers on every object that a new or returning server takes over.
+    RoutingWorld world;
+    routing::BackendState &warm = world.add("warm", "east-a");
+    routing::BackendState &cold = world.add("cold", "east-a");
+    cold.setCold(std::chrono::seconds(3), world.now);
+    cold.coldPermits().setLimits(10, 10);
+    for (std::uint64_t key = 0; key < 40; ++key)
+        CHECK(serverOf(world.choose(key)) == "warm");
+    // Slow beats refused.
+    world.fill(warm);
+    CHECK(serverOf(world.choose(object)) == "cold");
+    world.now += std::chrono::seconds(3);
+    warm.onLoadReport(0, 0, 6, world.now);
+    std::set<std::string> used;
+    for (std::uint64_t key = 0; key < 40; ++key)
+        used.insert(serverOf(world.choose(key)));
+    CHECK(used.size() == 2);
+}
+
+TEST_CASE("Another region comes before a cold server, unless no more requests may move there")
+{
+    RoutingWorld world;
+    routing::BackendState &warm = world.add("warm", "east-a");
+    routing::BackendState &cold = world.add("cold", "east-a");
+    world.add("far", "west-a");
+    cold.setCold(std::chrono::seconds(60), world.now);
+    cold.coldPermits().setLimits(10, 10);
+    world.fill(warm);
+    CHECK(serverOf(world.choose(object)) == "far");
+    world.now += std::chrono::seconds(4);
+    leftIn(world, warm, false, 400);
+    int coldRuns = 0;
+    for (int index = 0; index < 100; ++index) {
+        world.fill(warm);
+        coldRuns += serverOf(world.choose(object)) == "cold" ? 1 : 0;
+    }
+    CHECK(coldRuns > 50);
+}
+
 TEST_CASE("A server that failed twice is passed over, unless all did")
 {
     RoutingWorld world;
