Keep large responses in the failure domain only where two servers share them

It got all 25 objects of its callers, as many as it remembers, and others on top: 101 of 370 downloads there were late after the start, and each object was run for the first time by two servers in place of one.

With fewer than two servers in the failure domain the whole region's servers share the objects.

The test "Large responses stay in a failure domain..." has a second case that fails before; its first case holds with two servers, as the choice now is.

--- a/modules/sardinehollow_routing/selection/ServerSelector.cpp
+++ b/modules/sardinehollow_routing/selection/ServerSelector.cpp
@@ -13,6 +13,8 @@
 constexpr std::uint64_t spillSalt = 0x5b1d;
 // Part of the objective that a run is expected to take before the first response of a server.
 constexpr double expectedShare = 0.5;
+// Servers of the own failure domain from which on large responses stay in it.
+constexpr std::size_t fewestDomainServers = 2;
 // Keeps the logarithm of the rendezvous score finite.
 constexpr double smallestUnit = 1e-12;
 
@@ -67,6 +69,7 @@
                            const std::set<std::string> &tried) const
 {
     std::vector<Candidate> ranked;
+    std::size_t inDomain = 0;
     for (const BackendStatePtr &server : m_registry.servers(service)) {
         if (!mayRun(route, *server) || tried.count(server->server().id) > 0)
             continue;
@@ -76,14 +79,18 @@
                 = route.isBulk && server->server().failureDomain == m_settings.failureDomain;
         ranked.push_back({server, rendezvousScore(objectHash, *server),
                           server->region() == m_settings.region, isInDomain});
+        inDomain += isInDomain ? 1 : 0;
     }
-    std::sort(ranked.begin(), ranked.end(), [](const Candidate &first, const Candidate &second) {
+    // A server alone would get all objects of its failure domain, more than it remembers.
+    const bool isDomainPreferred = inDomain >= fewestDomainServers;
+    const auto isBefore = [&](const Candidate &first, const Candidate &second) {
         if (first.isNear != second.isNear)
             return first.isNear;
-        if (first.isInDomain != second.isInDomain)
+        if (isDomainPreferred && first.isInDomain != second.isInDomain)
             return first.isInDomain;
         return first.score > second.score;
-    });
+    };
+    std::sort(ranked.begin(), ranked.end(), isBefore);
     return ranked;
 }
 
