Pause a store watch for half of the time within which changes must be known

Cause: after each report of changes the watch paused 0.7 s, whatever the deployment allows.

The other half is for the store's answer, a repeated call and requests on their way.

Ruled out: asking the store for stale data, which may be seconds old and would break the bound for leaving servers.

Test "Changes that follow each other shortly do not wake a watch one by one" fails without the pause.

--- a/apps/sardinehollowd_platform/Main.cpp
+++ b/apps/sardinehollowd_platform/Main.cpp
@@ -34,6 +34,10 @@
 Exit codes: 0 done, 2 usage, 3 invalid settings.
 )";
 
+// Part of the time within which changes have to be known that may pass between two reports of the
+// store; the rest is for its answer, a repeated call and requests on their way.
+constexpr double watchPauseShare = 0.5;
+
 // Signal handlers take no argument; one daemon runs in a process.
 GatewayApplication *runningApplication = nullptr;
 
@@ -51,7 +55,10 @@
 {
     const sardinehollow::adapter::PlatformProtocol protocol;
     const sardinehollow::adapter::PlatformSchema schema;
-    sardinehollow::adapter::KvStore store(settings.storeAddress);
+    sardinehollow::adapter::KvStore store(
+            settings.storeAddress,
+            std::chrono::duration_cast<sardinehollow::core::Duration>(
+                    settings.changesKnownWithin * watchPauseShare));
     const auto sink = std::make_shared<sardinehollow::gateway::NonBlockingSink>(STDOUT_FILENO);
     try {
         GatewayApplication application(settings, protocol, schema, store, sink);
--- a/modules/sardinehollow_gateway/application/GatewaySettings.h
+++ b/modules/sardinehollow_gateway/application/GatewaySettings.h
@@ -25,6 +25,8 @@
     core::Duration directoryLifetime = std::chrono::seconds(2);
     /** Time from the signal to stop until the process is killed. */
     core::Duration stopGrace = std::chrono::seconds(6);
+    /** How long a change in the store may stay unknown to this daemon. */
+    core::Duration changesKnownWithin = std::chrono::milliseconds(2500);
     /** Shortest lifetime of a lease in the store. */
     std::chrono::seconds shortestLease {1};
     /** How long after an outage of the store a missing entry may still come back. */
--- a/modules/sardinehollow_gateway/application/GatewaySettingsReader.cpp
+++ b/modules/sardinehollow_gateway/application/GatewaySettingsReader.cpp
@@ -3,6 +3,8 @@
 #include "sardinehollow_config/json/JsonDocument.h"
 #include "sardinehollow_config/json/ObjectReader.h"
 
+#include <algorithm>
+
 namespace sardinehollow::gateway {
 
 namespace {
@@ -53,6 +55,8 @@
     settings.routing.retries.allowance = reader.number("retryAllowance", 0, mostRetries);
     settings.routing.retries.window = seconds(reader, "retryWindowSeconds", 0.1);
     settings.stopGrace = seconds(reader, "stopGraceSeconds", 1);
+    settings.changesKnownWithin = std::min(seconds(reader, "configurationKnownWithinSeconds", 0.1),
+                                           seconds(reader, "leavingKnownWithinSeconds", 0.1));
     settings.shortestLease = std::chrono::seconds(reader.integer("shortestLeaseSeconds", 1, 600));
     reader.finish();
     return settings;
--- a/scripts/platform_deployment.py
+++ b/scripts/platform_deployment.py
@@ -245,6 +245,7 @@
                   "ip": daemon["metrics"].split(":")[0], "platform.address": daemon["store"],
                   "zones|json": json.dumps(self.regions), "bounds.budgetRatio": "0.2",
                   "bounds.budgetSlack": "60", "bounds.budgetWindowS": "10", "bounds.graceS": "6",
+                  "bounds.configS": "2.5", "bounds.drainS": "2.5",
                   "platform.ttlMinS": "1"}
         with open(os.path.join(ROOT, "deploy", "settings.json.template"), encoding="utf-8") as file:
             text = file.read()
--- a/tests/adapter/KvStoreTest.cpp
+++ b/tests/adapter/KvStoreTest.cpp
@@ -135,6 +135,26 @@
     CHECK(seen[1].isDeleted);
 }
 
+TEST_CASE("Changes that follow each other shortly do not wake a watch one by one")
+{
+    // Guards against a priced call of each daemon for each change.
+    Fixture fixture;
+    adapter::KvStore pausingStore(fixture.address, 1h);
+    Events pausing;
+    Events prompt;
+    const auto pausingWatch = pausingStore.watch(purpose, "w/", true, 0, pausing);
+    const auto promptWatch = fixture.store.watch(purpose, "w/", true, 0, prompt);
+    fixture.put("w/a", "1");
+    pausing.waitFor(1);
+    const auto calls = pausingStore.callCounters().calls(platform::CallKind::Watch, purpose);
+    for (std::size_t others = 1; others <= 3; ++others) {
+        fixture.put("w/" + std::to_string(others), "1");
+        prompt.waitFor(1 + others);
+    }
+    CHECK(pausing.waitFor(1).size() == 1);
+    CHECK(pausingStore.callCounters().calls(platform::CallKind::Watch, purpose) == calls);
+}
+
 TEST_CASE("A watch from a forgotten revision ends, so that its owner reads anew")
 {
     Fixture fixture;
