--- a/apps/sardinehollowd/Main.cpp
+++ b/apps/sardinehollowd/Main.cpp
@@ -1,14 +1,14 @@
 #include "common/SettingsFile.h"
 #include "common/StopSignal.h"
 #include "sardinehollow_daemon/application/DaemonApplication.h"
-#include "sardinehollow_daemon/logging/JsonLogFormatter.h"
+#include "sardinehollow_logging/NonBlockingSink.h"
 
 #include <Poco/Exception.h>
-#include <spdlog/spdlog.h>
 
 #include <csignal>
 #include <iostream>
 #include <memory>
+#include <unistd.h>
 
 namespace {
 
@@ -34,7 +34,8 @@
     const sardinehollow::apps::StopSignal stop;
     std::signal(SIGPIPE, SIG_IGN);
     try {
-        sardinehollow::daemon::DaemonApplication application(settings);
+        sardinehollow::daemon::DaemonApplication application(
+                settings, std::make_shared<sardinehollow::logging::NonBlockingSink>(STDOUT_FILENO));
         stop.wait();
         application.drain();
     } catch (const Poco::Exception &exception) {
@@ -59,7 +60,5 @@
             sardinehollow::config::readDaemonSettings, exitCode);
     if (!settings)
         return exitCode;
-    if (settings->logJson)
-        spdlog::set_formatter(std::make_unique<sardinehollow::daemon::JsonLogFormatter>());
     return static_cast<int>(runUntilSignal(*settings));
 }
--- a/apps/sardinehollowd_platform/Main.cpp
+++ b/apps/sardinehollowd_platform/Main.cpp
@@ -4,7 +4,7 @@
 #include "platform/PlatformSchema.h"
 #include "sardinehollow_gateway/application/GatewayApplication.h"
 #include "sardinehollow_gateway/application/GatewaySettingsReader.h"
-#include "sardinehollow_gateway/logging/NonBlockingSink.h"
+#include "sardinehollow_logging/NonBlockingSink.h"
 
 #include <Poco/Exception.h>
 
@@ -59,7 +59,7 @@
             settings.storeAddress,
             std::chrono::duration_cast<sardinehollow::core::Duration>(
                     settings.changesKnownWithin * watchPauseShare));
-    const auto sink = std::make_shared<sardinehollow::gateway::NonBlockingSink>(STDOUT_FILENO);
+    const auto sink = std::make_shared<sardinehollow::logging::NonBlockingSink>(STDOUT_FILENO);
     try {
         GatewayApplication application(settings, protocol, schema, store, sink);
         runningApplication = &application;
--- a/modules/sardinehollow_config/settings/DaemonSettings.cpp
+++ b/modules/sardinehollow_config/settings/DaemonSettings.cpp
@@ -27,7 +27,6 @@
             = static_cast<std::uint32_t>(reader.integer("claimThreads", 1, maximumThreads, 256));
     settings.idleTimeout
             = std::chrono::milliseconds(reader.integer("idleTimeoutMs", 100, 3'600'000, 30'000));
-    settings.logJson = reader.boolean("logJson", false);
     settings.trustCallerHeader = reader.boolean("trustCallerHeader", false);
     reader.finish();
     return settings;
--- a/modules/sardinehollow_config/settings/DaemonSettings.h
+++ b/modules/sardinehollow_config/settings/DaemonSettings.h
@@ -33,7 +33,6 @@
     std::uint32_t claimThreads = 0;
     /** Time after which an idle caller connection is closed. */
     std::chrono::milliseconds idleTimeout {0};
-    bool logJson = false;
     /** Whether callers may state their address in a header; for tests on loopback only. */
     bool trustCallerHeader = false;
 };
--- a/modules/sardinehollow_routing/budgets/TokenBucket.cpp
+++ b/modules/sardinehollow_core/time/TokenBucket.cpp
@@ -1,8 +1,8 @@
-#include "sardinehollow_routing/budgets/TokenBucket.h"
+#include "sardinehollow_core/time/TokenBucket.h"
 
 #include <algorithm>
 
-namespace sardinehollow::routing {
+namespace sardinehollow::core {
 
 TokenBucket::TokenBucket(double rate, double capacity)
     : m_rate(rate)
@@ -17,13 +17,13 @@
     m_permits = std::min(m_permits, capacity);
 }
 
-bool TokenBucket::hasPermit(core::Instant now)
+bool TokenBucket::hasPermit(Instant now)
 {
     refill(now);
     return m_permits >= 1;
 }
 
-bool TokenBucket::take(core::Instant now)
+bool TokenBucket::take(Instant now)
 {
     if (!hasPermit(now))
         return false;
@@ -36,7 +36,7 @@
     m_permits = std::min(m_capacity, m_permits + permits);
 }
 
-void TokenBucket::refill(core::Instant now)
+void TokenBucket::refill(Instant now)
 {
     if (m_refilledAt.count() == 0)
         m_refilledAt = now;
@@ -45,4 +45,4 @@
     add(std::max(0.0, seconds) * m_rate);
 }
 
-} // namespace sardinehollow::routing
+} // namespace sardinehollow::core
--- a/modules/sardinehollow_routing/budgets/TokenBucket.h
+++ b/modules/sardinehollow_core/time/TokenBucket.h
@@ -2,7 +2,7 @@
 
 #include "sardinehollow_core/time/Instant.h"
 
-namespace sardinehollow::routing {
+namespace sardinehollow::core {
 
 /** Permits that grow at a rate up to a capacity. Not safe for concurrent use. */
 class TokenBucket
@@ -13,19 +13,19 @@
 
     void setLimits(double rate, double capacity);
     /** Whether a whole permit is left. */
-    bool hasPermit(core::Instant now);
+    bool hasPermit(Instant now);
     /** Takes one permit; returns false without effect if none is left. */
-    bool take(core::Instant now);
+    bool take(Instant now);
     /** Adds permits up to the capacity. */
     void add(double permits);
 
 private:
-    void refill(core::Instant now);
+    void refill(Instant now);
 
     double m_rate;
     double m_capacity;
     double m_permits;
-    core::Instant m_refilledAt {0};
+    Instant m_refilledAt {0};
 };
 
-} // namespace sardinehollow::routing
+} // namespace sardinehollow::core
--- a/modules/sardinehollow_daemon/application/DaemonApplication.cpp
+++ b/modules/sardinehollow_daemon/application/DaemonApplication.cpp
@@ -4,7 +4,6 @@
 #include "sardinehollow_metrics/PrometheusWriter.h"
 
 #include <Poco/JSON/Object.h>
-#include <spdlog/spdlog.h>
 
 #include <sstream>
 #include <thread>
@@ -20,6 +19,9 @@
 constexpr std::chrono::milliseconds claimInterval {10};
 constexpr std::chrono::milliseconds shiftInterval {10};
 constexpr std::chrono::milliseconds claimReportInterval {500};
+constexpr std::chrono::milliseconds logInterval {100};
+// Bounds the age of what a request's line can be compared with.
+constexpr std::chrono::milliseconds poolLogInterval {1000};
 // At the design size 20 reads a second in all.
 constexpr std::chrono::milliseconds claimSweepInterval {60000};
 constexpr std::chrono::seconds claimReportWait {2};
@@ -61,9 +63,11 @@
 
 } // namespace
 
-DaemonApplication::DaemonApplication(config::DaemonSettings settings)
+DaemonApplication::DaemonApplication(config::DaemonSettings settings, spdlog::sink_ptr logSink)
     : m_settings(std::move(settings))
     , m_incarnation(makeIncarnation())
+    , m_log(std::move(logSink))
+    , m_poolLog(m_log)
     , m_store(m_settings.storeAddresses, storeTimeout)
     , m_vmList(m_settings.vmListAddress, vmListTimeout)
     , m_storeClaims(m_store, m_clock, wallClock, waitOnThread, m_settings.deployment,
@@ -71,21 +75,27 @@
     , m_claimJournal(m_store, m_settings.deployment, m_settings.failureDomain)
     , m_claims({m_settings.vm, m_settings.failureDomain, m_incarnation}, m_claimJournal,
                m_storeClaims, m_clock, m_metrics)
-    , m_services {m_clock, m_policy, m_claims, m_metrics, m_settings.failureDomain, m_incarnation}
+    , m_services {m_clock, m_policy, m_claims, m_metrics, m_log, m_settings.failureDomain,
+                 m_incarnation}
     , m_configurationStore(m_store, m_settings.deployment, platform::CallPurpose::Configuration)
     , m_transport(transportSettings(m_settings, m_incarnation), m_clock)
-    , m_peers(m_settings, m_vmList, m_policy, m_transport, m_clock, m_incarnation)
+    , m_peers(m_settings, m_vmList, m_policy, m_transport, m_clock, m_log, m_incarnation)
     , m_replication(m_configurationStore, m_store, m_policy, m_transport, m_peers, m_clock,
-                    m_incarnation)
+                    m_log, m_incarnation)
     , m_steering(m_policy, m_transport, m_clock)
     , m_shifts({m_settings.vm, m_settings.failureDomain, m_incarnation}, m_policy, m_transport,
                m_clock, [this](const std::string &domain) { return lowestGeneration(domain); })
 {
     m_services.shifts = &m_shifts;
     m_services.trustCallerHeader = m_settings.trustCallerHeader;
+    m_log.state(logging::LogLine("started")
+                        .text("vm", m_settings.vm)
+                        .text("failureDomain", m_settings.failureDomain)
+                        .text("region", m_settings.region)
+                        .text("address", m_settings.callerAddress)
+                        .number("incarnation", static_cast<std::int64_t>(m_incarnation)));
     startServers();
     startTasks();
-    spdlog::info("daemon {} of {} started", m_settings.vm, m_settings.failureDomain);
 }
 
 DaemonApplication::~DaemonApplication()
@@ -102,7 +112,8 @@
 
 void DaemonApplication::drain()
 {
-    spdlog::info("leaving: the daemon is no longer in look-up answers");
+    m_log.state(logging::LogLine("stopping")
+                        .number("requests", static_cast<std::int64_t>(m_services.inFlight)));
     m_leaving = true;
     m_services.leaving = true;
     m_peers.leave();
@@ -116,7 +127,9 @@
     const core::Instant limit = m_clock.now() + claimReportWait;
     while (!m_claims.isIdle() && m_clock.now() < limit)
         std::this_thread::sleep_for(drainPoll);
-    spdlog::info("left: no request is in flight");
+    m_log.state(logging::LogLine("stopped")
+                        .number("requests", static_cast<std::int64_t>(m_services.inFlight)));
+    m_log.flush();
 }
 
 void DaemonApplication::waitUntilIdle()
@@ -182,7 +195,7 @@
 
 void DaemonApplication::startServers()
 {
-    m_operators = std::make_unique<entry::OperatorServer>(m_settings.operatorAddress, *this);
+    m_operators = std::make_unique<entry::OperatorServer>(m_settings.operatorAddress, *this, m_log);
     entry::EntryServerSettings settings;
     settings.callerAddress = m_settings.callerAddress;
     settings.forwardAddress = m_settings.forwardAddress;
@@ -202,7 +215,13 @@
     // A fenced daemon owns no slots, for which the policy waits for nothing.
     const bool joined = peers && !peers->fenced && m_policy.configuration();
     if (!m_hasAdmitted && joined && m_policy.isAdmitting(now))
-        m_hasAdmitted = true;
+        noteReady();
+}
+
+void DaemonApplication::noteReady()
+{
+    m_hasAdmitted = true;
+    m_log.state(logging::LogLine("ready").text("vm", m_settings.vm));
 }
 
 void DaemonApplication::advanceClaims()
@@ -249,6 +268,9 @@
             std::make_unique<PeriodicTask>(claimSweepInterval, [this] { m_storeClaims.sweep(); }));
     m_tasks.push_back(
             std::make_unique<PeriodicTask>(shiftInterval, [this] { m_shifts.advance(); }));
+    m_tasks.push_back(std::make_unique<PeriodicTask>(logInterval, [this] { m_log.flush(); }));
+    m_tasks.push_back(std::make_unique<PeriodicTask>(
+            poolLogInterval, [this] { m_poolLog.look(m_policy.statuses(m_clock.now())); }));
     m_tasks.push_back(std::make_unique<PeriodicTask>(claimInterval, [this] { advanceClaims(); }));
     m_tasks.push_back(
             std::make_unique<PeriodicTask>(claimReportInterval, [this] { m_storeClaims.poll(); }));
--- a/modules/sardinehollow_daemon/application/DaemonApplication.h
+++ b/modules/sardinehollow_daemon/application/DaemonApplication.h
@@ -8,11 +8,13 @@
 #include "sardinehollow_daemon/configuration/ReplicationService.h"
 #include "sardinehollow_daemon/peers/PeerService.h"
 #include "sardinehollow_daemon/scheduling/PeriodicTask.h"
+#include "sardinehollow_daemon/status/PoolLog.h"
 #include "sardinehollow_daemon/steering/ShiftService.h"
 #include "sardinehollow_daemon/steering/SteeringExchange.h"
 #include "sardinehollow_entry/server/EntryServer.h"
 #include "sardinehollow_entry/server/OperatorServer.h"
 #include "sardinehollow_entry/status/StatusSource.h"
+#include "sardinehollow_logging/EventLog.h"
 #include "sardinehollow_peer/transport/ZmqTransport.h"
 #include "sardinehollow_platform/etcd/EtcdStore.h"
 #include "sardinehollow_platform/vms/HttpVmList.h"
@@ -26,7 +28,7 @@
 {
 public:
     /** Starts all listeners; throws Poco::Exception if an address cannot be bound. */
-    explicit DaemonApplication(config::DaemonSettings settings);
+    DaemonApplication(config::DaemonSettings settings, spdlog::sink_ptr logSink);
     ~DaemonApplication() override;
 
     /** Leaves without cutting a request: returns when all requests in flight are finished. */
@@ -41,6 +43,7 @@
     void startTasks();
     /** Tells the claims of changes and sends their calls that are due. */
     void advancePolicy();
+    void noteReady();
     void advanceClaims();
     void waitUntilIdle();
     std::uint64_t lowestGeneration(const std::string &failureDomain) const;
@@ -48,6 +51,8 @@
     const config::DaemonSettings m_settings;
     const std::uint64_t m_incarnation;
     core::SystemClock m_clock;
+    logging::EventLog m_log;
+    PoolLog m_poolLog;
     platform::EtcdStore m_store;
     platform::HttpVmList m_vmList;
     policy::SteeringPolicy m_policy;
--- a/modules/sardinehollow_daemon/configuration/ReplicationService.cpp
+++ b/modules/sardinehollow_daemon/configuration/ReplicationService.cpp
@@ -1,6 +1,6 @@
 #include "sardinehollow_daemon/configuration/ReplicationService.h"
 
-#include <spdlog/spdlog.h>
+#include <utility>
 
 namespace sardinehollow::daemon {
 
@@ -20,13 +20,15 @@
                                        platform::KeyValueStore &store,
                                        policy::SteeringPolicy &policy,
                                        peer::ZmqTransport &transport, const PeerService &peers,
-                                       const core::MonotonicClock &clock, std::uint64_t seed)
+                                       const core::MonotonicClock &clock, logging::EventLog &log,
+                                       std::uint64_t seed)
     : m_configurations(configurations)
     , m_store(store)
     , m_policy(policy)
     , m_transport(transport)
     , m_peers(peers)
     , m_clock(clock)
+    , m_log(log)
     , m_random(seed)
     , m_replica(peer::ReplicaTimes(), m_random, clock.now())
     , m_storeTasks(std::make_unique<TaskQueue>())
@@ -72,8 +74,17 @@
 
 void ReplicationService::onEnded(const core::Error &reason)
 {
-    spdlog::warn("the watch of the configuration ended: {}", reason.message);
+    loseStore(reason);
+}
+
+void ReplicationService::loseStore(const core::Error &reason)
+{
     const std::lock_guard lock(m_mutex);
+    if (!std::exchange(m_isStoreLost, true))
+        m_log.state(logging::LogLine("store-lost")
+                            .text("error", reason.text())
+                            .number("generation",
+                                    static_cast<std::int64_t>(m_replica.storeGeneration())));
     m_replica.onStoreLost(m_clock.now());
 }
 
@@ -140,22 +151,27 @@
 {
     m_watch.reset();
     const core::Result<configuration_store::StoredHead> stored = m_configurations.readHead();
-    if (stored) {
-        core::Result<std::unique_ptr<platform::Watch>> watch
-                = m_store.watch(platform::CallPurpose::Configuration, m_configurations.headKey(),
-                                false, stored->storeRevision, *this);
-        if (watch) {
-            m_watch = std::move(*watch);
-            std::optional<peer::ReplicaHead> head;
-            if (stored->head.generation > 0)
-                head = toReplica(stored->head);
-            const std::lock_guard lock(m_mutex);
-            execute(m_replica.onFollowed(head, m_clock.now()));
-            return;
-        }
+    if (!stored) {
+        loseStore(stored.error());
+        return;
     }
+    core::Result<std::unique_ptr<platform::Watch>> watch
+            = m_store.watch(platform::CallPurpose::Configuration, m_configurations.headKey(), false,
+                            stored->storeRevision, *this);
+    if (!watch) {
+        loseStore(watch.error());
+        return;
+    }
+    m_watch = std::move(*watch);
+    std::optional<peer::ReplicaHead> head;
+    if (stored->head.generation > 0)
+        head = toReplica(stored->head);
     const std::lock_guard lock(m_mutex);
-    m_replica.onStoreLost(m_clock.now());
+    if (std::exchange(m_isStoreLost, false))
+        m_log.state(logging::LogLine("store-regained")
+                            .number("generation",
+                                    static_cast<std::int64_t>(stored->head.generation)));
+    execute(m_replica.onFollowed(head, m_clock.now()));
 }
 
 void ReplicationService::readPart(const std::string &digest)
@@ -172,16 +188,19 @@
         parts.push_back({digest, content.texts.at(digest).get()});
     tl::expected<config::Configuration, config::FaultList> joined = m_joiner.join(parts);
     if (!joined) {
-        spdlog::warn("generation {} cannot be put in force: {}", content.head.generation,
-                     config::toText(joined.error()));
+        m_log.state(logging::LogLine("configuration-unreadable")
+                            .number("generation",
+                                    static_cast<std::int64_t>(content.head.generation))
+                            .text("error", config::toText(joined.error())));
         return;
     }
     joined->generation = content.head.generation;
     const auto configuration = std::make_shared<const config::Configuration>(std::move(*joined));
-    if (m_policy.applyConfiguration(configuration)) {
-        spdlog::info("configuration generation {} by {} is in force", configuration->generation,
-                     content.head.author);
-    }
+    const bool isNewer = m_policy.applyConfiguration(configuration);
+    m_log.state(logging::LogLine(isNewer ? "configuration-applied" : "configuration-not-newer")
+                        .number("generation",
+                                static_cast<std::int64_t>(configuration->generation))
+                        .text("author", content.head.author));
 }
 
 } // namespace sardinehollow::daemon
--- a/modules/sardinehollow_daemon/configuration/ReplicationService.h
+++ b/modules/sardinehollow_daemon/configuration/ReplicationService.h
@@ -5,6 +5,7 @@
 #include "sardinehollow_core/random/SeededRandom.h"
 #include "sardinehollow_daemon/peers/PeerService.h"
 #include "sardinehollow_daemon/scheduling/TaskQueue.h"
+#include "sardinehollow_logging/EventLog.h"
 #include "sardinehollow_peer/replication/ConfigurationReplica.h"
 
 #include <memory>
@@ -19,7 +20,8 @@
     ReplicationService(configuration_store::ConfigurationStore &configurations,
                        platform::KeyValueStore &store, policy::SteeringPolicy &policy,
                        peer::ZmqTransport &transport, const PeerService &peers,
-                       const core::MonotonicClock &clock, std::uint64_t seed);
+                       const core::MonotonicClock &clock, logging::EventLog &log,
+                       std::uint64_t seed);
 
     /** Starts the periodic work; the transport must run already. */
     void start();
@@ -42,6 +44,8 @@
     void follow();
     void readPart(const std::string &digest);
     void apply(const peer::ReplicaContent &content);
+    /** Tells the replica that the store cannot be followed; logs the first time. */
+    void loseStore(const core::Error &reason);
 
     configuration_store::ConfigurationStore &m_configurations;
     platform::KeyValueStore &m_store;
@@ -49,10 +53,12 @@
     peer::ZmqTransport &m_transport;
     const PeerService &m_peers;
     const core::MonotonicClock &m_clock;
+    logging::EventLog &m_log;
     core::SeededRandom m_random;
     mutable std::mutex m_mutex;
     peer::ConfigurationReplica m_replica;
     bool m_stopped = false;
+    bool m_isStoreLost = false;
     // Used by the thread that applies configurations only.
     config::PartJoiner m_joiner;
     // Used by the store's thread only.
--- a/modules/sardinehollow_daemon/peers/PeerService.cpp
+++ b/modules/sardinehollow_daemon/peers/PeerService.cpp
@@ -1,7 +1,6 @@
 #include "sardinehollow_daemon/peers/PeerService.h"
 
 #include <Poco/JSON/Array.h>
-#include <spdlog/spdlog.h>
 
 namespace sardinehollow::daemon {
 
@@ -45,6 +44,27 @@
     return "sardinehollow_peer_" + name + " " + std::to_string(value) + "\n";
 }
 
+// One line for each daemon that came or went, and one for the daemon's own right to slots.
+void logChanges(logging::EventLog &log, const policy::PeerView *before, const policy::PeerView &now)
+{
+    std::map<std::string, std::string> known;
+    for (const policy::Peer &peer : before ? before->peers : std::vector<policy::Peer> {})
+        known[peer.vm] = peer.failureDomain;
+    for (const policy::Peer &peer : now.peers) {
+        if (known.erase(peer.vm) == 0)
+            log.state(logging::LogLine("peer-added")
+                              .text("vm", peer.vm)
+                              .text("failureDomain", peer.failureDomain));
+    }
+    for (const auto &[vm, failureDomain] : known)
+        log.state(logging::LogLine("peer-removed")
+                          .text("vm", vm)
+                          .text("failureDomain", failureDomain));
+    if (!before || before->fenced != now.fenced)
+        log.state(logging::LogLine(now.fenced ? "fenced" : "unfenced")
+                          .number("peers", static_cast<std::int64_t>(now.peers.size())));
+}
+
 Poco::JSON::Object::Ptr toObject(const peer::Member &member)
 {
     Poco::JSON::Object::Ptr object = new Poco::JSON::Object(Poco::JSON_PRESERVE_KEY_ORDER);
@@ -70,11 +90,13 @@
 
 PeerService::PeerService(const config::DaemonSettings &settings, platform::VmList &vmList,
                          policy::SteeringPolicy &policy, peer::ZmqTransport &transport,
-                         const core::MonotonicClock &clock, std::uint64_t incarnation)
+                         const core::MonotonicClock &clock, logging::EventLog &log,
+                         std::uint64_t incarnation)
     : m_vmList(vmList)
     , m_policy(policy)
     , m_transport(transport)
     , m_clock(clock)
+    , m_log(log)
     , m_membership(localAddress(settings), incarnation, peer::MembershipTimes(), clock.now())
     , m_incarnation(incarnation)
 {
@@ -161,6 +183,7 @@
 void PeerService::readVmList()
 {
     const core::Result<std::vector<platform::VmEntry>> entries = m_vmList.list();
+    noteVmList(entries.has_value(), entries ? std::string() : entries.error().text());
     // The last list stays in use; heartbeats tell who is alive.
     if (!entries)
         return;
@@ -175,6 +198,17 @@
     publish({});
 }
 
+void PeerService::noteVmList(bool isRead, const std::string &error)
+{
+    if (isRead != m_isVmListLost)
+        return;
+    m_isVmListLost = !isRead;
+    if (isRead)
+        m_log.state(logging::LogLine("vm-list-regained"));
+    else
+        m_log.state(logging::LogLine("vm-list-lost").text("error", error));
+}
+
 void PeerService::publish(peer::OutgoingMessages messages)
 {
     if (m_membership.isChanged())
@@ -182,16 +216,17 @@
     if (m_membership.incarnation() != m_incarnation) {
         m_incarnation = m_membership.incarnation();
         m_transport.setIncarnation(m_incarnation);
-        spdlog::warn("this daemon was paused beyond its lease and rejoins");
+        m_log.state(logging::LogLine("rejoined")
+                            .text("reason", "the daemon was paused beyond its lease")
+                            .number("incarnation", static_cast<std::int64_t>(m_incarnation)));
     }
     for (peer::OutgoingMessage &message : messages)
         m_transport.send(message.vm, std::move(message.envelope));
     const std::shared_ptr<const policy::PeerView> view = m_membership.view();
     if (view == m_published)
         return;
+    logChanges(m_log, m_published.get(), *view);
     m_published = view;
-    spdlog::info("peer view changed: {} live daemons, fenced: {}", view->peers.size(),
-                 view->fenced);
     m_policy.onPeers(view);
 }
 
--- a/modules/sardinehollow_daemon/peers/PeerService.h
+++ b/modules/sardinehollow_daemon/peers/PeerService.h
@@ -3,6 +3,7 @@
 #include "sardinehollow_config/settings/DaemonSettings.h"
 #include "sardinehollow_core/time/MonotonicClock.h"
 #include "sardinehollow_daemon/scheduling/PeriodicTask.h"
+#include "sardinehollow_logging/EventLog.h"
 #include "sardinehollow_peer/membership/Membership.h"
 #include "sardinehollow_peer/transport/ZmqTransport.h"
 #include "sardinehollow_platform/vms/VmList.h"
@@ -22,7 +23,8 @@
 public:
     PeerService(const config::DaemonSettings &settings, platform::VmList &vmList,
                 policy::SteeringPolicy &policy, peer::ZmqTransport &transport,
-                const core::MonotonicClock &clock, std::uint64_t incarnation);
+                const core::MonotonicClock &clock, logging::EventLog &log,
+                std::uint64_t incarnation);
 
     /** Starts the periodic work; the transport must run already. */
     void start();
@@ -50,6 +52,8 @@
 private:
     void tick();
     void readVmList();
+    /** Logs that the platform's list of VMs is lost or there again. */
+    void noteVmList(bool isRead, const std::string &error);
     void publish(peer::OutgoingMessages messages);
     void publishAddresses();
 
@@ -57,12 +61,15 @@
     policy::SteeringPolicy &m_policy;
     peer::ZmqTransport &m_transport;
     const core::MonotonicClock &m_clock;
+    logging::EventLog &m_log;
     mutable std::mutex m_mutex;
     peer::Membership m_membership;
     std::string m_claimScope;
     std::shared_ptr<const policy::PeerView> m_published;
     std::map<std::string, std::string> m_addresses;
     std::uint64_t m_incarnation;
+    /** For the thread that reads the list. */
+    bool m_isVmListLost = false;
     std::vector<std::unique_ptr<PeriodicTask>> m_tasks;
 };
 
--- a/modules/sardinehollow_entry/exchange/Exchange.h
+++ b/modules/sardinehollow_entry/exchange/Exchange.h
@@ -28,6 +28,8 @@
     { }
 
     Poco::Net::HTTPRequest request;
+    /** Name of the request in the logs and for its caller. */
+    std::string requestId;
     core::HttpBodyFraming framing;
     /** In force when the request arrived; keeps the work kind alive. */
     std::shared_ptr<const config::Configuration> configuration;
--- a/modules/sardinehollow_entry/exchange/HeaderNames.h
+++ b/modules/sardinehollow_entry/exchange/HeaderNames.h
@@ -3,6 +3,8 @@
 namespace sardinehollow::entry {
 
 inline constexpr const char *idempotencyKeyHeader = "Idempotency-Key";
+/** Names a request in the logs of all daemons; the daemon gives one if the caller does not. */
+inline constexpr const char *requestIdHeader = "Sardinehollow-Request-Id";
 /** Remaining time in milliseconds. */
 inline constexpr const char *deadlineHeader = "Sardinehollow-Deadline-Ms";
 inline constexpr const char *outcomeHeader = "Sardinehollow-Outcome";
--- a/modules/sardinehollow_entry/exchange/Problem.cpp
+++ b/modules/sardinehollow_entry/exchange/Problem.cpp
@@ -38,6 +38,8 @@
     response.set(outcomeHeader, outcome);
     response.set(reasonHeader, reason);
     response.set(generationHeader, std::to_string(problem.generation));
+    if (!problem.requestId.empty())
+        response.set(requestIdHeader, problem.requestId);
     if (problem.retryAfter.count() > 0) {
         const auto seconds = std::chrono::ceil<std::chrono::seconds>(problem.retryAfter);
         response.set(retryAfterHeader, std::to_string(seconds.count()));
--- a/modules/sardinehollow_entry/exchange/Problem.h
+++ b/modules/sardinehollow_entry/exchange/Problem.h
@@ -7,6 +7,7 @@
 #include "sardinehollow_policy/reasons/RefusalReason.h"
 
 #include <cstdint>
+#include <string>
 
 namespace sardinehollow::entry {
 
@@ -18,6 +19,8 @@
     policy::RefusalReason reason = policy::RefusalReason::None;
     core::Duration retryAfter {0};
     std::uint64_t generation = 0;
+    /** Name of the request; empty if its head could not be read. */
+    std::string requestId;
 };
 
 /** The answer to a request that cannot be read and has not run. */
--- /dev/null
+++ b/modules/sardinehollow_entry/exchange/RequestRecord.cpp
@@ -0,0 +1,47 @@
+#include "sardinehollow_entry/exchange/RequestRecord.h"
+
+namespace sardinehollow::entry {
+
+void RequestRecord::end(RequestEnd end, int status, policy::RefusalReason reason)
+{
+    m_end = end;
+    m_status = status;
+    m_reason = reason;
+}
+
+void RequestRecord::endHold(core::Instant now)
+{
+    if (m_heldSince.count() == 0)
+        return;
+    m_held += now - m_heldSince;
+    m_heldSince = core::Instant(0);
+}
+
+void RequestRecord::addTarget(const std::string &target)
+{
+    m_targets += (m_targets.empty() ? "" : " ") + target;
+}
+
+logging::LogLine RequestRecord::line(const Exchange &exchange, const std::string &caller,
+                                     core::Instant now) const
+{
+    const policy::RequestOffer &offer = exchange.offer;
+    logging::LogLine line("request");
+    line.text("id", exchange.requestId)
+            .text("caller", caller)
+            .text("kind", exchange.kind.name)
+            .number("generation", static_cast<std::int64_t>(exchange.configuration->generation))
+            .text("rank", exchange.kind.rank)
+            .text("forwardedFrom", offer.originFailureDomain)
+            .text("outcome", toName(m_end))
+            .number("status", m_status)
+            .text("reason", policy::toName(m_reason))
+            .number("attempts", exchange.attempts)
+            .text("targets", m_targets)
+            .milliseconds("heldMs", m_held)
+            .milliseconds("deadlineMs", offer.deadline - offer.arrival)
+            .milliseconds("ms", now - offer.arrival);
+    return line;
+}
+
+} // namespace sardinehollow::entry
--- /dev/null
+++ b/modules/sardinehollow_entry/exchange/RequestRecord.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "sardinehollow_core/time/Instant.h"
+#include "sardinehollow_entry/exchange/Exchange.h"
+#include "sardinehollow_entry/exchange/RequestEnd.h"
+#include "sardinehollow_logging/LogLine.h"
+#include "sardinehollow_policy/reasons/RefusalReason.h"
+
+#include <string>
+
+namespace sardinehollow::entry {
+
+/** What becomes of a request, for its line in the log. */
+class RequestRecord
+{
+public:
+    void end(RequestEnd end, int status, policy::RefusalReason reason);
+    /** The policy holds the request from now on. */
+    void startHold(core::Instant now) { m_heldSince = now; }
+    void endHold(core::Instant now);
+    /** A backend server or a peer was tried. */
+    void addTarget(const std::string &target);
+
+    logging::LogLine line(const Exchange &exchange, const std::string &caller,
+                          core::Instant now) const;
+
+private:
+    RequestEnd m_end = RequestEnd::CallerLeft;
+    int m_status = 0;
+    policy::RefusalReason m_reason = policy::RefusalReason::None;
+    core::Instant m_heldSince {0};
+    core::Duration m_held {0};
+    std::string m_targets;
+};
+
+} // namespace sardinehollow::entry
--- a/modules/sardinehollow_entry/forwarding/ForwardAttempt.cpp
+++ b/modules/sardinehollow_entry/forwarding/ForwardAttempt.cpp
@@ -276,6 +276,7 @@
     for (const char *name : {loadHeader, leavingHeader, notRunHeader, reasonHeader})
         answer.erase(name);
     answer.set(outcomeHeader, std::string(toName(Outcome::Complete)));
+    answer.set(requestIdHeader, m_exchange.requestId);
     answer.set(generationHeader, std::to_string(m_exchange.configuration->generation));
     noteStarted();
     if (m_exchange.caller)
--- a/modules/sardinehollow_entry/handlers/EntryHandlerFactory.cpp
+++ b/modules/sardinehollow_entry/handlers/EntryHandlerFactory.cpp
@@ -1,5 +1,6 @@
 #include "sardinehollow_entry/handlers/EntryHandlerFactory.h"
 
+#include "sardinehollow_entry/exchange/RequestName.h"
 #include "sardinehollow_entry/handlers/LookupHandler.h"
 #include "sardinehollow_entry/handlers/RefusalHandler.h"
 #include "sardinehollow_entry/handlers/WorkExchange.h"
@@ -38,12 +39,14 @@
         return std::make_shared<WorkExchange>(m_context, sink, request, framing, configuration,
                                               *kind, m_fromPeer);
     Problem problem;
+    problem.requestId = requestName(request, m_context.services);
     problem.reason = policy::RefusalReason::NoConfiguration;
     if (configuration) {
+        problem.generation = configuration->generation;
         problem.status = Poco::Net::HTTPResponse::HTTP_NOT_FOUND;
         problem.reason = policy::RefusalReason::UnknownWorkKind;
     }
-    return std::make_shared<RefusalHandler>(m_context.services.metrics, sink, problem);
+    return std::make_shared<RefusalHandler>(m_context.services, sink, problem);
 }
 
 network::ConnectionLimits EntryHandlerFactory::limits() const
--- a/modules/sardinehollow_entry/handlers/EntryServices.h
+++ b/modules/sardinehollow_entry/handlers/EntryServices.h
@@ -4,6 +4,7 @@
 #include "sardinehollow_entry/claims/ClaimGate.h"
 #include "sardinehollow_entry/metrics/Metrics.h"
 #include "sardinehollow_entry/shifts/ShiftGate.h"
+#include "sardinehollow_logging/EventLog.h"
 #include "sardinehollow_policy/facade/SteeringPolicy.h"
 
 #include <atomic>
@@ -19,6 +20,7 @@
     policy::SteeringPolicy &policy;
     ClaimGate &claims;
     Metrics &metrics;
+    logging::EventLog &log;
     /** Failure domain of this daemon. */
     std::string failureDomain;
     std::uint64_t incarnation = 0;
--- a/modules/sardinehollow_entry/handlers/LookupHandler.cpp
+++ b/modules/sardinehollow_entry/handlers/LookupHandler.cpp
@@ -1,6 +1,7 @@
 #include "sardinehollow_entry/handlers/LookupHandler.h"
 
-#include "sardinehollow_entry/exchange/Problem.h"
+#include "sardinehollow_entry/exchange/RequestName.h"
+#include "sardinehollow_entry/handlers/Refusal.h"
 
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
@@ -74,8 +75,9 @@
             problem.status = Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
             problem.reason = policy::RefusalReason::NoConfiguration;
         }
-        m_services.metrics.countRefusal(problem.reason);
-        sendProblem(m_caller, problem);
+        problem.requestId = requestName(m_request, m_services);
+        problem.generation = configuration ? configuration->generation : 0;
+        refuse(m_services, m_caller, problem);
         return;
     }
     const policy::LookupAnswer answer = m_services.policy.lookUp(kind, *address);
@@ -88,9 +90,9 @@
 
 void LookupHandler::onFault(network::RequestFault fault)
 {
-    const Problem problem = problemOf(fault);
-    m_services.metrics.countRefusal(problem.reason);
-    sendProblem(m_caller, problem);
+    Problem problem = problemOf(fault);
+    problem.requestId = requestName(m_request, m_services);
+    refuse(m_services, m_caller, problem);
 }
 
 } // namespace sardinehollow::entry
--- a/modules/sardinehollow_entry/handlers/RefusalHandler.cpp
+++ b/modules/sardinehollow_entry/handlers/RefusalHandler.cpp
@@ -1,22 +1,26 @@
 #include "sardinehollow_entry/handlers/RefusalHandler.h"
 
+#include "sardinehollow_entry/handlers/Refusal.h"
+
 namespace sardinehollow::entry {
 
-RefusalHandler::RefusalHandler(Metrics &metrics, network::ResponseSink &caller, Problem problem)
-    : m_metrics(metrics)
+RefusalHandler::RefusalHandler(EntryServices &services, network::ResponseSink &caller,
+                               Problem problem)
+    : m_services(services)
     , m_caller(caller)
-    , m_problem(problem)
+    , m_problem(std::move(problem))
 { }
 
 void RefusalHandler::start()
 {
-    m_metrics.countRefusal(m_problem.reason);
-    sendProblem(m_caller, m_problem);
+    refuse(m_services, m_caller, m_problem);
 }
 
 void RefusalHandler::onFault(network::RequestFault fault)
 {
+    const std::string requestId = m_problem.requestId;
     m_problem = problemOf(fault);
+    m_problem.requestId = requestId;
     start();
 }
 
--- a/modules/sardinehollow_entry/handlers/RefusalHandler.h
+++ b/modules/sardinehollow_entry/handlers/RefusalHandler.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "sardinehollow_entry/exchange/Problem.h"
-#include "sardinehollow_entry/metrics/Metrics.h"
+#include "sardinehollow_entry/handlers/EntryServices.h"
 #include "sardinehollow_network/server/RequestHandler.h"
 
 namespace sardinehollow::entry {
@@ -10,13 +10,13 @@
 class RefusalHandler : public network::RequestHandler
 {
 public:
-    RefusalHandler(Metrics &metrics, network::ResponseSink &caller, Problem problem);
+    RefusalHandler(EntryServices &services, network::ResponseSink &caller, Problem problem);
 
     void start() override;
     void onFault(network::RequestFault fault) override;
 
 private:
-    Metrics &m_metrics;
+    EntryServices &m_services;
     network::ResponseSink &m_caller;
     Problem m_problem;
 };
--- a/modules/sardinehollow_entry/handlers/WorkExchange.cpp
+++ b/modules/sardinehollow_entry/handlers/WorkExchange.cpp
@@ -3,6 +3,7 @@
 #include "sardinehollow_core/hash/Sha256.h"
 #include "sardinehollow_core/hash/StableHash.h"
 #include "sardinehollow_entry/exchange/HeaderNames.h"
+#include "sardinehollow_entry/exchange/RequestName.h"
 
 #include <Poco/NumberParser.h>
 
@@ -78,9 +79,16 @@
                            std::shared_ptr<const config::Configuration> configuration,
                            const config::WorkKind &kind, bool fromPeer)
     : m_context(context)
+    , m_peerHost(caller.peerHost())
     , m_exchange(request, framing, std::move(configuration), kind, caller)
     , m_fromPeer(fromPeer)
-{ }
+{
+    m_exchange.requestId = requestName(request, m_context.services);
+    // Servers and peers log the same name.
+    m_exchange.request.set(requestIdHeader, m_exchange.requestId);
+    m_exchange.offer.arrival = m_context.services.clock.now();
+    m_exchange.offer.deadline = m_exchange.offer.arrival;
+}
 
 void WorkExchange::start()
 {
@@ -111,7 +119,6 @@
     offer.id = {m_context.services.incarnation, ++m_context.services.sequence};
     offer.workKind = m_exchange.kind.name;
     offer.callerHash = core::stableHash(callerAddress());
-    offer.arrival = m_context.services.clock.now();
     offer.deadline = offer.arrival + remaining;
     offer.forwarded = m_fromPeer;
     if (!m_fromPeer)
@@ -128,7 +135,7 @@
 {
     if (m_context.services.trustCallerHeader && m_exchange.request.has(callerHeader))
         return m_exchange.request.get(callerHeader);
-    return m_exchange.caller->peerHost();
+    return m_peerHost;
 }
 
 std::string WorkExchange::identifyingBody() const
@@ -185,6 +192,7 @@
     }
     const Problem problem = problemOf(fault);
     m_context.services.metrics.countRefusal(problem.reason);
+    m_record.end(RequestEnd::NotRun, problem.status, problem.reason);
     answer(problem);
     close();
 }
@@ -268,8 +276,11 @@
 
 void WorkExchange::apply(const policy::Decision &decision)
 {
+    const core::Instant now = m_context.services.clock.now();
+    m_record.endHold(now);
     switch (decision.kind) {
     case DecisionKind::Hold:
+        m_record.startHold(now);
         m_phase = Phase::Held;
         return;
     case DecisionKind::Refuse:
@@ -291,6 +302,7 @@
     const bool isRefused = decision.kind == DecisionKind::Refuse;
     const RefusalReason reason = isRefused ? decision.reason : m_lastReason;
     if (m_exchange.download.active) {
+        m_record.end(RequestEnd::Cut, HTTPResponse::HTTP_OK, reason);
         abortAnswer();
         close();
         return;
@@ -363,6 +375,8 @@
 void WorkExchange::attempt(const policy::Decision &decision)
 {
     m_phase = Phase::Attempting;
+    m_record.addTarget(decision.kind == DecisionKind::Forward ? decision.peer
+                                                              : decision.backendServer);
     // The attempt is on the call stack when it ends.
     const auto onEnd
             = [weak = weak_from_this(), &loop = m_context.loop](const AttemptResult &result) {
@@ -381,6 +395,8 @@
     m_lastRetryAfter = result.retryAfter;
     m_mayHaveRun = m_mayHaveRun || mayHaveRun(result.outcome);
     const policy::Decision decision = reportAttempt(result);
+    if (result.outcome != AttemptOutcome::Completed)
+        logFailedAttempt(result, decision);
     m_attempt.reset();
     if (m_isClaimed)
         recordOutcome(result);
@@ -388,6 +404,7 @@
         m_context.services.metrics.recordLatency(m_exchange.kind.rank, m_exchange.kind.name,
                                                  m_context.services.clock.now()
                                                          - m_exchange.offer.arrival);
+        m_record.end(RequestEnd::Complete, result.status, RefusalReason::None);
         close();
         return;
     }
@@ -396,6 +413,7 @@
         return;
     }
     if (result.responseStarted && !m_exchange.download.active) {
+        m_record.end(RequestEnd::Cut, result.status, result.reason);
         close();
         return;
     }
@@ -405,6 +423,25 @@
     pauseBody();
 }
 
+void WorkExchange::logFailedAttempt(const AttemptResult &result, const policy::Decision &next)
+{
+    const policy::Decision &decision = m_attempt->decision();
+    const bool isForward = decision.kind == DecisionKind::Forward;
+    logging::LogLine line("attempt-failed");
+    line.text("id", m_exchange.requestId)
+            .text(isForward ? "peer" : "server",
+                  isForward ? decision.peer : decision.backendServer)
+            .number("attempt", decision.attempt)
+            .text("outcome", policy::toName(result.outcome))
+            .text("reason", policy::toName(result.reason))
+            .number("status", result.status)
+            .number("bytes", static_cast<std::int64_t>(result.responseBytes))
+            .milliseconds("ms", result.latency)
+            .text("next", policy::toName(next.kind))
+            .text("nextReason", policy::toName(next.reason));
+    m_context.services.log.request(line, m_context.services.clock.now());
+}
+
 policy::Decision WorkExchange::reportAttempt(const AttemptResult &result)
 {
     const policy::Decision &decision = m_attempt->decision();
@@ -468,6 +505,7 @@
     problem.status = HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE;
     problem.outcome = Outcome::Unknown;
     problem.reason = result.reason;
+    m_record.end(RequestEnd::Unknown, problem.status, problem.reason);
     answer(problem);
     close();
 }
@@ -479,6 +517,7 @@
     problem.status = statusOf(reason);
     problem.reason = reason;
     problem.retryAfter = retryAfter;
+    m_record.end(RequestEnd::NotRun, problem.status, reason);
     answer(problem);
     close();
 }
@@ -490,6 +529,7 @@
     problem.status = HTTPResponse::HTTP_BAD_GATEWAY;
     problem.outcome = Outcome::Unknown;
     problem.reason = reason;
+    m_record.end(RequestEnd::Unknown, problem.status, reason);
     answer(problem);
     close();
 }
@@ -498,7 +538,9 @@
 {
     HTTPResponse response(static_cast<HTTPResponse::HTTPStatus>(answer.status));
     response.set(outcomeHeader, std::string(toName(Outcome::Complete)));
+    response.set(requestIdHeader, m_exchange.requestId);
     response.set(generationHeader, std::to_string(m_exchange.configuration->generation));
+    m_record.end(RequestEnd::Replayed, answer.status, RefusalReason::None);
     network::ResponseSink &caller = *m_exchange.caller;
     m_exchange.caller = nullptr;
     caller.sendResponse(response, answer.body);
@@ -510,6 +552,7 @@
     if (!m_exchange.caller)
         return;
     problem.generation = m_exchange.configuration->generation;
+    problem.requestId = m_exchange.requestId;
     network::ResponseSink &caller = *m_exchange.caller;
     m_exchange.caller = nullptr;
     sendProblem(caller, problem);
@@ -530,6 +573,9 @@
         return;
     m_phase = Phase::Ended;
     m_context.loop.cancel(m_timer);
+    const core::Instant now = m_context.services.clock.now();
+    m_record.endHold(now);
+    m_context.services.log.request(m_record.line(m_exchange, callerAddress(), now), now);
     m_context.exchanges.deliver(m_context.services.policy.cancel(m_exchange.offer.id));
     m_inFlight.reset();
     m_context.exchanges.remove(m_exchange.offer.id);
--- a/modules/sardinehollow_entry/handlers/WorkExchange.h
+++ b/modules/sardinehollow_entry/handlers/WorkExchange.h
@@ -3,6 +3,7 @@
 #include "sardinehollow_entry/claims/ClaimRequest.h"
 #include "sardinehollow_entry/exchange/Exchange.h"
 #include "sardinehollow_entry/exchange/Problem.h"
+#include "sardinehollow_entry/exchange/RequestRecord.h"
 #include "sardinehollow_entry/forwarding/ForwardAttempt.h"
 #include "sardinehollow_entry/handlers/EntryContext.h"
 #include "sardinehollow_network/server/RequestHandler.h"
@@ -67,11 +68,14 @@
     void abortAnswer();
     /** Ends the exchange; it is destroyed once the caller's connection has let it go too. */
     void close();
+    void logFailedAttempt(const AttemptResult &result, const policy::Decision &next);
     std::string callerAddress() const;
     /** The part of the body that tells this request from others of its method and path. */
     std::string identifyingBody() const;
 
     EntryContext &m_context;
+    /** IP address of the connection's other end. */
+    const std::string m_peerHost;
     Exchange m_exchange;
     const bool m_fromPeer;
     Phase m_phase = Phase::Reading;
@@ -83,6 +87,7 @@
     bool m_isClaimed = false;
     /** Whether any attempt may have run the request; the last one alone does not tell. */
     bool m_mayHaveRun = false;
+    RequestRecord m_record;
     policy::RefusalReason m_lastReason = policy::RefusalReason::None;
     core::Duration m_lastRetryAfter {0};
 };
--- a/modules/sardinehollow_entry/server/EntryServer.cpp
+++ b/modules/sardinehollow_entry/server/EntryServer.cpp
@@ -1,7 +1,5 @@
 #include "sardinehollow_entry/server/EntryServer.h"
 
-#include <spdlog/spdlog.h>
-
 namespace sardinehollow::entry {
 
 namespace {
@@ -45,7 +43,9 @@
     return std::make_unique<network::ServerListener>(
             m_loop, address, factory, [this, address](const std::string &reason) {
                 m_services.metrics.add("accept_failures_total");
-                spdlog::warn("cannot accept connections at {}: {}", address, reason);
+                m_services.log.state(logging::LogLine("accept-failed")
+                                             .text("address", address)
+                                             .text("error", reason));
             });
 }
 
--- a/modules/sardinehollow_entry/server/OperatorServer.cpp
+++ b/modules/sardinehollow_entry/server/OperatorServer.cpp
@@ -1,17 +1,18 @@
 #include "sardinehollow_entry/server/OperatorServer.h"
 
-#include <spdlog/spdlog.h>
-
 namespace sardinehollow::entry {
 
-OperatorServer::OperatorServer(const std::string &address, StatusSource &status)
+OperatorServer::OperatorServer(const std::string &address, StatusSource &status,
+                               logging::EventLog &log)
     : m_status(status)
     , m_loop(m_clock)
     , m_listener(
               m_loop, address,
               [this](const Poco::Net::HTTPRequest &request) { return answer(request.getURI()); },
-              [address](const std::string &reason) {
-                  spdlog::warn("cannot accept connections at {}: {}", address, reason);
+              [address, &log](const std::string &reason) {
+                  log.state(logging::LogLine("accept-failed")
+                                    .text("address", address)
+                                    .text("error", reason));
               })
     , m_address(m_listener.address().toString())
     , m_thread(m_loop)
--- a/modules/sardinehollow_entry/server/OperatorServer.h
+++ b/modules/sardinehollow_entry/server/OperatorServer.h
@@ -3,6 +3,7 @@
 #include "sardinehollow_core/time/SystemClock.h"
 #include "sardinehollow_entry/server/LoopThread.h"
 #include "sardinehollow_entry/status/StatusSource.h"
+#include "sardinehollow_logging/EventLog.h"
 #include "sardinehollow_network/server/QueryListener.h"
 
 #include <string>
@@ -14,7 +15,7 @@
 {
 public:
     /** Binds "IP:port"; throws Poco::Exception if that fails. */
-    OperatorServer(const std::string &address, StatusSource &status);
+    OperatorServer(const std::string &address, StatusSource &status, logging::EventLog &log);
     ~OperatorServer();
 
     void start() { m_thread.start(); }
--- a/modules/sardinehollow_gateway/application/GatewayApplication.cpp
+++ b/modules/sardinehollow_gateway/application/GatewayApplication.cpp
@@ -53,7 +53,7 @@
     , m_servers(m_services, schema, m_settings.reappearanceTime)
     , m_entries(m_services, m_settings.reappearanceTime + std::chrono::seconds(1))
 {
-    m_log.state(LogLine("started")
+    m_log.state(logging::LogLine("started")
                         .text("vm", m_settings.self.name)
                         .text("failureDomain", m_settings.self.failureDomain)
                         .text("region", m_settings.self.region)
@@ -103,13 +103,13 @@
 void GatewayApplication::onAcceptFailed(const std::string &address, const std::string &reason)
 {
     m_metrics.countAcceptFailure();
-    m_log.state(LogLine("accept-failed").text("address", address).text("error", reason));
+    m_log.state(logging::LogLine("accept-failed").text("address", address).text("error", reason));
 }
 
 void GatewayApplication::run()
 {
     m_loop.run();
-    m_log.state(LogLine("stopped").number("connections",
+    m_log.state(logging::LogLine("stopped").number("connections",
                                           static_cast<std::int64_t>(m_callers->connectionCount())));
     m_log.flush();
 }
@@ -131,7 +131,7 @@
     m_entries.removeDue();
     m_pool.prune();
     for (const std::uint64_t request : m_routing.quarantine().advance(m_loop.now()))
-        m_log.state(LogLine("request-quarantined")
+        m_log.state(logging::LogLine("request-quarantined")
                             .text("request",
                                   Poco::NumberFormatter::formatHex(
                                           static_cast<Poco::UInt64>(request))));
@@ -145,7 +145,7 @@
                 encodeEntry({m_settings.self, {}}),
                 std::max(entryLifetime, m_settings.shortestLease), seedOf(m_settings, "lease"),
                 [this](const core::Error &error) { onRenewalFailed(error); });
-        m_log.state(LogLine("ready").text("vm", m_settings.self.name));
+        m_log.state(logging::LogLine("ready").text("vm", m_settings.self.name));
     }
     m_log.flush();
     m_loop.schedule(tickInterval, [this] { onTick(); });
@@ -166,7 +166,7 @@
 void GatewayApplication::onRenewalFailed(const core::Error &error)
 {
     m_loop.post([this, error] {
-        m_log.state(LogLine("renewal-failed").text("error", error.text()));
+        m_log.state(logging::LogLine("renewal-failed").text("error", error.text()));
         m_mirror->recheck();
     });
 }
@@ -174,7 +174,7 @@
 void GatewayApplication::checkSignals()
 {
     if (m_reloadRequested.exchange(false))
-        m_log.state(LogLine("reload").text("detail", "settings are read at the start only"));
+        m_log.state(logging::LogLine("reload").text("detail", "settings are read at the start only"));
     if (m_stopRequested.exchange(false) && m_stoppingSince.count() == 0)
         beginStop();
 }
@@ -185,7 +185,7 @@
     m_services.isLeaving = true;
     if (m_ownEntry)
         m_ownEntry->release();
-    m_log.state(LogLine("stopping").milliseconds("grace", m_settings.stopGrace));
+    m_log.state(logging::LogLine("stopping").milliseconds("grace", m_settings.stopGrace));
 }
 
 void GatewayApplication::advanceStop()
@@ -198,7 +198,7 @@
     if (isFinishing && !m_services.isRefusing) {
         m_services.isRefusing = true;
         m_callers->stopAccepting();
-        m_log.state(LogLine("finishing")
+        m_log.state(logging::LogLine("finishing")
                             .number("requests", static_cast<std::int64_t>(m_callers->busyCount())));
     }
     m_callers->closeIdle(quietBeforeClose);
--- a/modules/sardinehollow_gateway/application/GatewayApplication.h
+++ b/modules/sardinehollow_gateway/application/GatewayApplication.h
@@ -59,7 +59,7 @@
     network::BootClock m_clock;
     core::SeededRandom m_random;
     network::EventLoop m_loop;
-    EventLog m_log;
+    logging::EventLog m_log;
     GatewayMetrics m_metrics;
     routing::RoutingState m_routing;
     BackendPool m_pool;
--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -82,7 +82,7 @@
     return RetryReason::Broken;
 }
 
-void appendHome(LogLine &line, const std::string &name, const routing::HomeState &home)
+void appendHome(logging::LogLine &line, const std::string &name, const routing::HomeState &home)
 {
     if (home.server.empty())
         return;
@@ -419,7 +419,7 @@
 void Exchange::logFailedAttempt(RetryReason reason, const std::string &detail)
 {
     const core::Instant now = m_services.loop.now();
-    LogLine line("attempt-failed");
+    logging::LogLine line("attempt-failed");
     line.text("id", m_facts.requestId)
             .text("server", m_server ? m_server->server().id : "")
             .text("reason", toName(reason))
@@ -496,7 +496,7 @@
     m_services.metrics.countOutcome(outcome);
     if (outcome == RequestOutcome::Delivered)
         m_services.metrics.recordLatency(m_service, now - m_startedAt);
-    LogLine line("request");
+    logging::LogLine line("request");
     line.text("id", m_facts.requestId)
             .text("caller", m_caller)
             .text("route", m_route ? m_route->name : "")
--- a/modules/sardinehollow_gateway/exchange/GatewayServices.h
+++ b/modules/sardinehollow_gateway/exchange/GatewayServices.h
@@ -2,7 +2,7 @@
 
 #include "sardinehollow_gateway/backend/BackendPool.h"
 #include "sardinehollow_gateway/exchange/WireProtocol.h"
-#include "sardinehollow_gateway/logging/EventLog.h"
+#include "sardinehollow_logging/EventLog.h"
 #include "sardinehollow_gateway/status/GatewayMetrics.h"
 #include "sardinehollow_network/loop/EventLoop.h"
 #include "sardinehollow_routing/state/RoutingState.h"
@@ -17,7 +17,7 @@
     routing::RoutingState &routing;
     BackendPool &pool;
     GatewayMetrics &metrics;
-    EventLog &log;
+    logging::EventLog &log;
     /** The daemon takes no new callers: connections end with the next response. */
     bool isLeaving = false;
     /** The daemon stops soon: requests that come now could not be finished. */
--- a/modules/sardinehollow_gateway/logging/EventLog.cpp
+++ b/modules/sardinehollow_logging/EventLog.cpp
@@ -1,6 +1,8 @@
-#include "sardinehollow_gateway/logging/EventLog.h"
+#include "sardinehollow_logging/EventLog.h"
 
-namespace sardinehollow::gateway {
+#include <utility>
+
+namespace sardinehollow::logging {
 
 namespace {
 
@@ -17,18 +19,25 @@
     m_logger.set_pattern(R"(%v,"time":"%Y-%m-%dT%H:%M:%S.%eZ"})", spdlog::pattern_time_type::utc);
 }
 
+EventLog::~EventLog()
+{
+    m_logger.flush();
+}
+
 void EventLog::request(const LogLine &line, core::Instant now)
 {
-    if (!m_permits.take(now)) {
-        ++m_omitted;
-        ++m_omittedSinceLine;
-        return;
-    }
-    if (m_omittedSinceLine > 0) {
-        state(LogLine("lines-omitted")
-                      .number("count", static_cast<std::int64_t>(m_omittedSinceLine)));
-        m_omittedSinceLine = 0;
+    std::uint64_t omitted = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_permits.take(now)) {
+            ++m_omitted;
+            ++m_omittedSinceLine;
+            return;
+        }
+        omitted = std::exchange(m_omittedSinceLine, 0);
     }
+    if (omitted > 0)
+        state(LogLine("lines-omitted").number("count", static_cast<std::int64_t>(omitted)));
     state(line);
 }
 
@@ -37,4 +46,4 @@
     m_logger.info(spdlog::string_view_t(line.fields().data(), line.fields().size()));
 }
 
-} // namespace sardinehollow::gateway
+} // namespace sardinehollow::logging
--- a/modules/sardinehollow_gateway/logging/EventLog.h
+++ b/modules/sardinehollow_logging/EventLog.h
@@ -1,25 +1,32 @@
 #pragma once
 
 #include "sardinehollow_core/time/Instant.h"
-#include "sardinehollow_gateway/logging/LogLine.h"
-#include "sardinehollow_routing/budgets/TokenBucket.h"
+#include "sardinehollow_logging/LogLine.h"
+#include "sardinehollow_core/time/TokenBucket.h"
 
 #include <spdlog/logger.h>
 
+#include <atomic>
 #include <cstdint>
 #include <memory>
+#include <mutex>
 
-namespace sardinehollow::gateway {
+namespace sardinehollow::logging {
 
 /**
  * The daemon's structured log. Lines about requests are bounded in number; what is left out is
- * counted and said. Not safe for concurrent use.
+ * counted and said. Safe for concurrent use.
  */
 class EventLog
 {
 public:
-    /** The sink must not block. */
+    /** The sink must not block, and be safe for concurrent use if the log is used so. */
     explicit EventLog(spdlog::sink_ptr sink);
+    /** Hands over what is buffered. */
+    ~EventLog();
+
+    EventLog(const EventLog &) = delete;
+    EventLog &operator=(const EventLog &) = delete;
 
     /** Writes a line about one request, if the bound allows it. */
     void request(const LogLine &line, core::Instant now);
@@ -33,9 +40,10 @@
 
 private:
     spdlog::logger m_logger;
-    routing::TokenBucket m_permits;
-    std::uint64_t m_omitted = 0;
+    std::mutex m_mutex;
+    core::TokenBucket m_permits;
     std::uint64_t m_omittedSinceLine = 0;
+    std::atomic<std::uint64_t> m_omitted {0};
 };
 
-} // namespace sardinehollow::gateway
+} // namespace sardinehollow::logging
--- a/modules/sardinehollow_gateway/logging/LogLine.cpp
+++ b/modules/sardinehollow_logging/LogLine.cpp
@@ -1,6 +1,6 @@
-#include "sardinehollow_gateway/logging/LogLine.h"
+#include "sardinehollow_logging/LogLine.h"
 
-namespace sardinehollow::gateway {
+namespace sardinehollow::logging {
 
 namespace {
 
@@ -49,4 +49,4 @@
     m_fields += ':';
 }
 
-} // namespace sardinehollow::gateway
+} // namespace sardinehollow::logging
--- a/modules/sardinehollow_gateway/logging/LogLine.h
+++ b/modules/sardinehollow_logging/LogLine.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-namespace sardinehollow::gateway {
+namespace sardinehollow::logging {
 
 /** Builds one structured log line: a JSON object with an event name and fields. */
 class LogLine
@@ -28,4 +28,4 @@
     std::string m_fields;
 };
 
-} // namespace sardinehollow::gateway
+} // namespace sardinehollow::logging
--- a/modules/sardinehollow_gateway/logging/NonBlockingSink.cpp
+++ b/modules/sardinehollow_logging/NonBlockingSink.cpp
@@ -1,9 +1,9 @@
-#include "sardinehollow_gateway/logging/NonBlockingSink.h"
+#include "sardinehollow_logging/NonBlockingSink.h"
 
 #include <poll.h>
 #include <unistd.h>
 
-namespace sardinehollow::gateway {
+namespace sardinehollow::logging {
 
 namespace {
 
@@ -11,6 +11,13 @@
 // A pipe that can be written to takes at least this much (PIPE_BUF) without blocking.
 constexpr std::size_t pipeBytes = 4096;
 
+// As many whole lines as one write takes, so that a process that is killed leaves no half of one.
+std::size_t nextWrite(const std::string &pending)
+{
+    const std::size_t end = pending.rfind('\n', pipeBytes - 1);
+    return end == std::string::npos ? std::min(pending.size(), pipeBytes) : end + 1;
+}
+
 bool canWrite(int descriptor)
 {
     pollfd state {descriptor, POLLOUT, 0};
@@ -40,12 +47,11 @@
 {
     // The descriptor is shared with other processes, so that it cannot be made non-blocking.
     while (!m_pending.empty() && canWrite(m_descriptor)) {
-        const ssize_t count
-                = write(m_descriptor, m_pending.data(), std::min(m_pending.size(), pipeBytes));
+        const ssize_t count = write(m_descriptor, m_pending.data(), nextWrite(m_pending));
         if (count <= 0)
             return;
         m_pending.erase(0, static_cast<std::size_t>(count));
     }
 }
 
-} // namespace sardinehollow::gateway
+} // namespace sardinehollow::logging
--- a/modules/sardinehollow_gateway/logging/NonBlockingSink.h
+++ b/modules/sardinehollow_logging/NonBlockingSink.h
@@ -1,18 +1,18 @@
 #pragma once
 
-#include <spdlog/details/null_mutex.h>
 #include <spdlog/sinks/base_sink.h>
 
 #include <cstdint>
+#include <mutex>
 #include <string>
 
-namespace sardinehollow::gateway {
+namespace sardinehollow::logging {
 
 /**
  * Writes log lines to a descriptor that may be a full pipe: what it does not take is kept up to a
- * bound and dropped beyond it. For one thread.
+ * bound and dropped beyond it. Safe for concurrent use.
  */
-class NonBlockingSink : public spdlog::sinks::base_sink<spdlog::details::null_mutex>
+class NonBlockingSink : public spdlog::sinks::base_sink<std::mutex>
 {
 public:
     explicit NonBlockingSink(int descriptor);
@@ -29,4 +29,4 @@
     std::uint64_t m_droppedLines = 0;
 };
 
-} // namespace sardinehollow::gateway
+} // namespace sardinehollow::logging
--- a/modules/sardinehollow_policy/facade/AttemptOutcome.h
+++ b/modules/sardinehollow_policy/facade/AttemptOutcome.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <string_view>
+
 namespace sardinehollow::policy {
 
 /** How an attempt at a backend server or a peer ended. */
@@ -19,4 +21,6 @@
     CallerLeft,
 };
 
+std::string_view toName(AttemptOutcome outcome);
+
 } // namespace sardinehollow::policy
--- a/modules/sardinehollow_policy/facade/DecisionKind.h
+++ b/modules/sardinehollow_policy/facade/DecisionKind.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <string_view>
+
 namespace sardinehollow::policy {
 
 /** What happens to a request next. */
@@ -16,4 +18,6 @@
     Finish,
 };
 
+std::string_view toName(DecisionKind kind);
+
 } // namespace sardinehollow::policy
--- a/modules/sardinehollow_routing/backends/BackendState.h
+++ b/modules/sardinehollow_routing/backends/BackendState.h
@@ -2,7 +2,7 @@
 
 #include "sardinehollow_core/time/Instant.h"
 #include "sardinehollow_routing/backends/BackendServer.h"
-#include "sardinehollow_routing/budgets/TokenBucket.h"
+#include "sardinehollow_core/time/TokenBucket.h"
 
 #include <cstdint>
 #include <optional>
@@ -75,7 +75,7 @@
     /** The server said that it stays cold for a while. */
     void setCold(core::Duration left, core::Instant now) { m_coldUntil = now + left; }
     /** This daemon's share of the requests that a cold server bears. */
-    TokenBucket &coldPermits() { return m_coldPermits; }
+    core::TokenBucket &coldPermits() { return m_coldPermits; }
 
 private:
     BackendServer m_server;
@@ -97,7 +97,7 @@
     core::Instant m_avoidUntil {0};
     core::Instant m_unreachableAt {0};
     core::Instant m_coldUntil {0};
-    TokenBucket m_coldPermits;
+    core::TokenBucket m_coldPermits;
 };
 
 } // namespace sardinehollow::routing
--- a/modules/sardinehollow_routing/budgets/RetryBudget.h
+++ b/modules/sardinehollow_routing/budgets/RetryBudget.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "sardinehollow_routing/budgets/TokenBucket.h"
+#include "sardinehollow_core/time/TokenBucket.h"
 
 #include <map>
 #include <string>
@@ -30,7 +30,7 @@
 
 private:
     const RetryBudgetSettings m_settings;
-    std::map<std::string, TokenBucket> m_buckets;
+    std::map<std::string, core::TokenBucket> m_buckets;
 };
 
 } // namespace sardinehollow::routing
--- a/tests/adapter/ServerTrackerTest.cpp
+++ b/tests/adapter/ServerTrackerTest.cpp
@@ -50,7 +50,7 @@
     routing::RoutingState routing;
     gateway::BackendPool pool;
     gateway::GatewayMetrics metrics;
-    gateway::EventLog log;
+    logging::EventLog log;
     gateway::GatewayServices services;
     gateway::ServerTracker tracker;
 };
--- a/tests/daemon/RollingRestartTest.cpp
+++ b/tests/daemon/RollingRestartTest.cpp
@@ -14,6 +14,7 @@
 #include <Poco/StreamCopier.h>
 
 #include <catch2/catch.hpp>
+#include <spdlog/sinks/null_sink.h>
 
 #include <algorithm>
 #include <functional>
@@ -73,7 +74,13 @@
         }
         m_standin = std::make_unique<standin::Standin>(m_standinSettings);
         for (const config::DaemonSettings &item : settings)
-            daemons.push_back(std::make_unique<daemon::DaemonApplication>(item));
+            daemons.push_back(start(item));
+    }
+
+    static std::unique_ptr<daemon::DaemonApplication> start(const config::DaemonSettings &settings)
+    {
+        return std::make_unique<daemon::DaemonApplication>(
+                settings, std::make_shared<spdlog::sinks::null_sink_mt>());
     }
 
     /** Returns the error of the submission; empty if it was accepted. */
@@ -225,7 +232,7 @@
         const int whenLeft = caller.completed;
         const bool servedOn = eventually([&] { return caller.completed > whenLeft + 5; });
         deployment.daemons[index]
-                = std::make_unique<daemon::DaemonApplication>(deployment.settings[index]);
+                = Deployment::start(deployment.settings[index]);
         const bool ready = deployment.waitUntilReady();
         REQUIRE(caller.stop() == "");
         REQUIRE(gone);
--- a/tests/entry/OperatorContractTest.cpp
+++ b/tests/entry/OperatorContractTest.cpp
@@ -4,6 +4,7 @@
 #include <Poco/RegularExpression.h>
 #include <Poco/StringTokenizer.h>
 #include <catch2/catch.hpp>
+#include <spdlog/sinks/null_sink.h>
 
 #include <set>
 
@@ -20,6 +21,7 @@
     std::string metricsText() const override { return "metrics\n"; }
 
     std::atomic<bool> ready {true};
+    logging::EventLog log {std::make_shared<spdlog::sinks::null_sink_mt>()};
 };
 
 tests::Answer ask(const entry::OperatorServer &listener, const std::string &path)
@@ -81,7 +83,7 @@
     CAPTURE(item.path, item.ready);
     FixedStatus status;
     status.ready = item.ready;
-    entry::OperatorServer listener("127.0.0.1:0", status);
+    entry::OperatorServer listener("127.0.0.1:0", status, status.log);
     listener.start();
     CHECK(ask(listener, item.path).status == item.status);
 }
@@ -91,7 +93,7 @@
     FixedStatus status;
     standin::Standin standin(tests::backendSettings(1, 2s));
     const tests::EntryFixture fixture(tests::backendAddresses(standin));
-    entry::OperatorServer listener("127.0.0.1:0", status);
+    entry::OperatorServer listener("127.0.0.1:0", status, status.log);
     listener.start();
     std::vector<std::unique_ptr<core::HttpConnection>> callers;
     for (int index = 0; index < 100; ++index) {
@@ -106,7 +108,7 @@
 TEST_CASE("Operators that hold idle connections do not keep the next one out")
 {
     FixedStatus status;
-    entry::OperatorServer listener("127.0.0.1:0", status);
+    entry::OperatorServer listener("127.0.0.1:0", status, status.log);
     listener.start();
     core::HttpConnection idle(Poco::Net::SocketAddress(listener.address()), 10s);
     idle.send("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
--- a/tests/gateway/DelayedRemovalTest.cpp
+++ b/tests/gateway/DelayedRemovalTest.cpp
@@ -1,5 +1,4 @@
 #include "sardinehollow_gateway/application/DelayedRemoval.h"
-#include "sardinehollow_gateway/logging/LogLine.h"
 
 #include <catch2/catch.hpp>
 
@@ -36,12 +35,3 @@
     CHECK(removals.onMissing({"left"}, 1, 10, now) == Keys {"left"});
     CHECK(removals.takeDue(now + 10s).empty());
 }
-
-TEST_CASE("A log line stays one JSON object whatever a caller sends")
-{
-    const gateway::LogLine line = gateway::LogLine("request")
-                                          .text("path", "/a\"b\\c\n\x80")
-                                          .number("status", 503)
-                                          .milliseconds("ms", 1500ms);
-    CHECK(line.fields() == R"({"event":"request","path":"/a?b?c??","status":503,"ms":1500)");
-}
--- /dev/null
+++ b/tests/logging/EventLogTest.cpp
@@ -0,0 +1,69 @@
+#include "sardinehollow_logging/EventLog.h"
+#include "sardinehollow_logging/NonBlockingSink.h"
+
+#include <catch2/catch.hpp>
+#include <spdlog/sinks/ostream_sink.h>
+
+#include <array>
+#include <sstream>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace sardinehollow;
+using namespace std::chrono_literals;
+using logging::EventLog;
+using logging::LogLine;
+
+TEST_CASE("Lines about requests are bounded, and the log says how many it left out")
+{
+    std::ostringstream text;
+    EventLog log(std::make_shared<spdlog::sinks::ostream_sink_mt>(text));
+    core::Instant now = 10s;
+    for (int index = 0; index < 1000; ++index)
+        log.request(LogLine("request").number("index", index), now);
+    log.state(LogLine("stopped"));
+    CHECK(log.omitted() == 600);
+    CHECK(text.str().find("\"event\":\"stopped\"") != std::string::npos);
+    now += 1s;
+    log.request(LogLine("request").number("index", 1000), now);
+    CHECK(text.str().find(R"({"event":"lines-omitted","count":600,"time":")")
+          != std::string::npos);
+}
+
+TEST_CASE("Each write to the descriptor ends with a whole line")
+{
+    // Guards against half a line in front of the next process's first one when this one is killed.
+    std::array<int, 2> sockets {};
+    REQUIRE(socketpair(AF_UNIX, SOCK_SEQPACKET, 0, sockets.data()) == 0);
+    EventLog log(std::make_shared<logging::NonBlockingSink>(sockets[0]));
+    for (int index = 0; index < 60; ++index)
+        log.state(LogLine("line").text("filling", std::string(200, 'x')));
+    log.flush();
+    shutdown(sockets[0], SHUT_WR);
+    std::array<char, 8192> packet {};
+    int packets = 0;
+    for (ssize_t size = 0; (size = recv(sockets[1], packet.data(), packet.size(), 0)) > 0;) {
+        CHECK(packet[static_cast<std::size_t>(size) - 1] == '\n');
+        ++packets;
+    }
+    CHECK(packets > 2);
+    close(sockets[0]);
+    close(sockets[1]);
+}
+
+TEST_CASE("A line longer than a write is written in parts")
+{
+    std::array<int, 2> sockets {};
+    REQUIRE(socketpair(AF_UNIX, SOCK_STREAM, 0, sockets.data()) == 0);
+    EventLog log(std::make_shared<logging::NonBlockingSink>(sockets[0]));
+    log.state(LogLine("line").text("filling", std::string(10'000, 'x')));
+    log.flush();
+    shutdown(sockets[0], SHUT_WR);
+    std::array<char, 4096> part {};
+    std::size_t bytes = 0;
+    for (ssize_t size = 0; (size = recv(sockets[1], part.data(), part.size(), 0)) > 0;)
+        bytes += static_cast<std::size_t>(size);
+    CHECK(bytes > 10'000);
+    close(sockets[0]);
+    close(sockets[1]);
+}
--- /dev/null
+++ b/tests/logging/LogLineTest.cpp
@@ -0,0 +1,15 @@
+#include "sardinehollow_logging/LogLine.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sardinehollow;
+using namespace std::chrono_literals;
+
+TEST_CASE("A log line stays one JSON object whatever a caller sends")
+{
+    const logging::LogLine line = logging::LogLine("request")
+                                          .text("path", "/a\"b\\c\n\t\x01\x80")
+                                          .number("status", 503)
+                                          .milliseconds("ms", 1500ms);
+    CHECK(line.fields() == R"({"event":"request","path":"/a?b?c????","status":503,"ms":1500)");
+}
--- a/tests/routing/BudgetTest.cpp
+++ b/tests/routing/BudgetTest.cpp
@@ -28,24 +28,6 @@
     CHECK(taken <= ratio * daemons * requestsEach + allowance);
 }
 
-TEST_CASE("Permits of a bucket flow back at its rate up to its capacity")
-{
-    routing::TokenBucket bucket(2, 3);
-    core::Instant now = 10s;
-    CHECK(bucket.take(now));
-    CHECK(bucket.take(now));
-    CHECK(bucket.take(now));
-    CHECK_FALSE(bucket.take(now));
-    now += 500ms;
-    CHECK(bucket.take(now));
-    CHECK_FALSE(bucket.take(now));
-    now += 1h;
-    int left = 0;
-    while (bucket.take(now))
-        ++left;
-    CHECK(left == 3);
-}
-
 TEST_CASE("A caller is told the daemons of its region, and others if there are too few")
 {
     routing::EntryDirectory entries;
--- a/tests/support/EntryFixture.h
+++ b/tests/support/EntryFixture.h
@@ -9,8 +9,10 @@
 
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
+#include <spdlog/sinks/ostream_sink.h>
 
 #include <map>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -94,6 +96,8 @@
         m_services.trustCallerHeader = trustCallerHeader;
     }
     entry::Metrics &metrics() { return m_metrics; }
+    /** The lines so far; the loop must be idle. */
+    std::string logText() const { return m_logText.str(); }
     /** Waits until no request is in flight; one that leaks ends the test by ctest's time-out. */
     void waitUntilIdle() const
     {
@@ -183,7 +187,9 @@
     policy::SteeringPolicy m_policy {policySettings()};
     entry::Metrics m_metrics;
     RecordingClaims m_claims;
-    entry::EntryServices m_services {m_clock, m_policy, m_claims, m_metrics, "east-a", 1};
+    std::ostringstream m_logText;
+    logging::EventLog m_log {std::make_shared<spdlog::sinks::ostream_sink_mt>(m_logText)};
+    entry::EntryServices m_services {m_clock, m_policy, m_claims, m_metrics, m_log, "east-a", 1};
     entry::EntryServer m_server {{"127.0.0.1:0", "127.0.0.1:0", std::chrono::seconds(30), 4},
                                  m_services};
 };
