--- a/apps/sardinehollow_standin/Main.cpp
+++ b/apps/sardinehollow_standin/Main.cpp
@@ -27,7 +27,7 @@
 {
     using sardinehollow::standin::Standin;
     return sardinehollow::apps::runUntilSignal<Standin>(
-            [&settings] { return std::make_unique<Standin>(settings); }, [](Standin &) { },
+            [&settings] { return std::make_unique<Standin>(settings); }, [](Standin &) {},
             "check that the addresses are free");
 }
 
--- a/apps/sardinehollowd_platform/Main.cpp
+++ b/apps/sardinehollowd_platform/Main.cpp
@@ -55,10 +55,9 @@
 {
     const sardinehollow::adapter::PlatformProtocol protocol;
     const sardinehollow::adapter::PlatformSchema schema;
-    sardinehollow::adapter::KvStore store(
-            settings.storeAddress,
-            std::chrono::duration_cast<sardinehollow::core::Duration>(
-                    settings.changesKnownWithin * watchPauseShare));
+    sardinehollow::adapter::KvStore store(settings.storeAddress,
+                                          std::chrono::duration_cast<sardinehollow::core::Duration>(
+                                                  settings.changesKnownWithin * watchPauseShare));
     const auto sink = std::make_shared<sardinehollow::logging::NonBlockingSink>(STDOUT_FILENO);
     try {
         GatewayApplication application(settings, protocol, schema, store, sink);
--- a/modules/sardinehollow_daemon/application/DaemonApplication.cpp
+++ b/modules/sardinehollow_daemon/application/DaemonApplication.cpp
@@ -75,13 +75,13 @@
     , m_claimJournal(m_store, m_settings.deployment, m_settings.failureDomain)
     , m_claims({m_settings.vm, m_settings.failureDomain, m_incarnation}, m_claimJournal,
                m_storeClaims, m_clock, m_metrics)
-    , m_services {m_clock, m_policy, m_claims, m_metrics, m_log, m_settings.failureDomain,
-                 m_incarnation}
+    , m_services {m_clock,      m_policy, m_claims, m_metrics, m_log, m_settings.failureDomain,
+                  m_incarnation}
     , m_configurationStore(m_store, m_settings.deployment, platform::CallPurpose::Configuration)
     , m_transport(transportSettings(m_settings, m_incarnation), m_clock)
     , m_peers(m_settings, m_vmList, m_policy, m_transport, m_clock, m_log, m_incarnation)
-    , m_replication(m_configurationStore, m_store, m_policy, m_transport, m_peers, m_clock,
-                    m_log, m_incarnation)
+    , m_replication(m_configurationStore, m_store, m_policy, m_transport, m_peers, m_clock, m_log,
+                    m_incarnation)
     , m_steering(m_policy, m_transport, m_clock)
     , m_shifts({m_settings.vm, m_settings.failureDomain, m_incarnation}, m_policy, m_transport,
                m_clock, [this](const std::string &domain) { return lowestGeneration(domain); })
@@ -127,8 +127,8 @@
     const core::Instant limit = m_clock.now() + claimReportWait;
     while (!m_claims.isIdle() && m_clock.now() < limit)
         std::this_thread::sleep_for(drainPoll);
-    m_log.state(logging::LogLine("stopped")
-                        .number("requests", static_cast<std::int64_t>(m_services.inFlight)));
+    m_log.state(logging::LogLine("stopped").number("requests",
+                                                   static_cast<std::int64_t>(m_services.inFlight)));
     m_log.flush();
 }
 
--- a/modules/sardinehollow_daemon/configuration/ReplicationService.cpp
+++ b/modules/sardinehollow_daemon/configuration/ReplicationService.cpp
@@ -168,9 +168,9 @@
         head = toReplica(stored->head);
     const std::lock_guard lock(m_mutex);
     if (std::exchange(m_isStoreLost, false))
-        m_log.state(logging::LogLine("store-regained")
-                            .number("generation",
-                                    static_cast<std::int64_t>(stored->head.generation)));
+        m_log.state(
+                logging::LogLine("store-regained")
+                        .number("generation", static_cast<std::int64_t>(stored->head.generation)));
     execute(m_replica.onFollowed(head, m_clock.now()));
 }
 
@@ -188,18 +188,17 @@
         parts.push_back({digest, content.texts.at(digest).get()});
     tl::expected<config::Configuration, config::FaultList> joined = m_joiner.join(parts);
     if (!joined) {
-        m_log.state(logging::LogLine("configuration-unreadable")
-                            .number("generation",
-                                    static_cast<std::int64_t>(content.head.generation))
-                            .text("error", config::toText(joined.error())));
+        m_log.state(
+                logging::LogLine("configuration-unreadable")
+                        .number("generation", static_cast<std::int64_t>(content.head.generation))
+                        .text("error", config::toText(joined.error())));
         return;
     }
     joined->generation = content.head.generation;
     const auto configuration = std::make_shared<const config::Configuration>(std::move(*joined));
     const bool isNewer = m_policy.applyConfiguration(configuration);
     m_log.state(logging::LogLine(isNewer ? "configuration-applied" : "configuration-not-newer")
-                        .number("generation",
-                                static_cast<std::int64_t>(configuration->generation))
+                        .number("generation", static_cast<std::int64_t>(configuration->generation))
                         .text("author", content.head.author));
 }
 
--- a/modules/sardinehollow_entry/handlers/WorkExchange.cpp
+++ b/modules/sardinehollow_entry/handlers/WorkExchange.cpp
@@ -429,8 +429,7 @@
     const bool isForward = decision.kind == DecisionKind::Forward;
     logging::LogLine line("attempt-failed");
     line.text("id", m_exchange.requestId)
-            .text(isForward ? "peer" : "server",
-                  isForward ? decision.peer : decision.backendServer)
+            .text(isForward ? "peer" : "server", isForward ? decision.peer : decision.backendServer)
             .number("attempt", decision.attempt)
             .text("outcome", policy::toName(result.outcome))
             .text("reason", policy::toName(result.reason))
--- a/modules/sardinehollow_gateway/application/GatewayApplication.cpp
+++ b/modules/sardinehollow_gateway/application/GatewayApplication.cpp
@@ -109,8 +109,8 @@
 void GatewayApplication::run()
 {
     m_loop.run();
-    m_log.state(logging::LogLine("stopped").number("connections",
-                                          static_cast<std::int64_t>(m_callers->connectionCount())));
+    m_log.state(logging::LogLine("stopped").number(
+            "connections", static_cast<std::int64_t>(m_callers->connectionCount())));
     m_log.flush();
 }
 
@@ -174,7 +174,8 @@
 void GatewayApplication::checkSignals()
 {
     if (m_reloadRequested.exchange(false))
-        m_log.state(logging::LogLine("reload").text("detail", "settings are read at the start only"));
+        m_log.state(
+                logging::LogLine("reload").text("detail", "settings are read at the start only"));
     if (m_stopRequested.exchange(false) && m_stoppingSince.count() == 0)
         beginStop();
 }
--- a/modules/sardinehollow_gateway/application/OperatorTracker.cpp
+++ b/modules/sardinehollow_gateway/application/OperatorTracker.cpp
@@ -49,10 +49,11 @@
     const auto version = static_cast<std::int64_t>(configuration->version);
     const auto routeCount = static_cast<std::int64_t>(configuration->routes.size());
     const bool isNewer = m_services.routing.adopt(std::move(*configuration));
-    m_services.log.state(logging::LogLine(isNewer ? "configuration-applied" : "configuration-not-newer")
-                                 .number("version", version)
-                                 .number("routes", routeCount)
-                                 .number("revision", keyValue.modRevision));
+    m_services.log.state(
+            logging::LogLine(isNewer ? "configuration-applied" : "configuration-not-newer")
+                    .number("version", version)
+                    .number("routes", routeCount)
+                    .number("revision", keyValue.modRevision));
 }
 
 void OperatorTracker::applyEvacuations(const std::set<std::string> &failureDomains)
--- a/modules/sardinehollow_gateway/application/ServerTracker.cpp
+++ b/modules/sardinehollow_gateway/application/ServerTracker.cpp
@@ -49,7 +49,8 @@
     if (!services().routing.backends().contains(id))
         return;
     services().routing.backends().remove(id);
-    services().log.state(logging::LogLine("server-removed").text("server", id).text("reason", reason));
+    services().log.state(
+            logging::LogLine("server-removed").text("server", id).text("reason", reason));
 }
 
 } // namespace sardinehollow::gateway
--- a/modules/sardinehollow_gateway/exchange/GatewayServices.h
+++ b/modules/sardinehollow_gateway/exchange/GatewayServices.h
@@ -2,8 +2,8 @@
 
 #include "sardinehollow_gateway/backend/BackendPool.h"
 #include "sardinehollow_gateway/exchange/WireProtocol.h"
-#include "sardinehollow_logging/EventLog.h"
 #include "sardinehollow_gateway/status/GatewayMetrics.h"
+#include "sardinehollow_logging/EventLog.h"
 #include "sardinehollow_network/loop/EventLoop.h"
 #include "sardinehollow_routing/state/RoutingState.h"
 
--- a/modules/sardinehollow_logging/EventLog.h
+++ b/modules/sardinehollow_logging/EventLog.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "sardinehollow_core/time/Instant.h"
-#include "sardinehollow_logging/LogLine.h"
 #include "sardinehollow_core/time/TokenBucket.h"
+#include "sardinehollow_logging/LogLine.h"
 
 #include <spdlog/logger.h>
 
--- a/modules/sardinehollow_routing/backends/BackendState.h
+++ b/modules/sardinehollow_routing/backends/BackendState.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "sardinehollow_core/time/Instant.h"
-#include "sardinehollow_routing/backends/BackendServer.h"
 #include "sardinehollow_core/time/TokenBucket.h"
+#include "sardinehollow_routing/backends/BackendServer.h"
 
 #include <cstdint>
 #include <optional>
--- a/modules/sardinehollow_routing/budgets/RetryBudget.cpp
+++ b/modules/sardinehollow_routing/budgets/RetryBudget.cpp
@@ -21,7 +21,8 @@
     // Half of the allowance may be spent at once, the other half flows back within a window.
     const double share = m_settings.allowance / 2 / static_cast<double>(fleetSize);
     const double capacity = std::max(share, smallestCapacity);
-    core::TokenBucket &permits = m_buckets.try_emplace(service, share / seconds, capacity).first->second;
+    core::TokenBucket &permits
+            = m_buckets.try_emplace(service, share / seconds, capacity).first->second;
     permits.setLimits(share / seconds, capacity);
     permits.add(m_settings.ratio);
 }
--- a/modules/sardinehollow_routing/selection/ServerSelector.cpp
+++ b/modules/sardinehollow_routing/selection/ServerSelector.cpp
@@ -199,10 +199,9 @@
                                               const std::vector<Candidate> &ranked,
                                               core::Instant now) const
 {
-    const auto found = std::find_if(
-            ranked.begin(), ranked.end(), [&](const Candidate &candidate) {
-                return hasRoom(route, *candidate.server, now);
-            });
+    const auto found = std::find_if(ranked.begin(), ranked.end(), [&](const Candidate &candidate) {
+        return hasRoom(route, *candidate.server, now);
+    });
     return found == ranked.end() ? nullptr : found->server;
 }
 
--- a/modules/sardinehollow_routing/selection/SpillRamp.cpp
+++ b/modules/sardinehollow_routing/selection/SpillRamp.cpp
@@ -26,8 +26,8 @@
 constexpr double highestLevel = 0.9;
 // How far the share of requests that left may lie above the level.
 constexpr double overflowTolerance = 0.04;
-// Bound of what is saved up for later or owed, in requests: two that arrive together may both leave,
-// and a pause saves up no burst.
+// Bound of what is saved up for later or owed, in requests: two that arrive together may both
+// leave, and a pause saves up no burst.
 constexpr double mostAllowance = 2;
 
 double averaged(double average, double sample, core::Instant last, core::Instant now,
--- a/tests/adapter/GatewayFixture.h
+++ b/tests/adapter/GatewayFixture.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "support/RawServer.h"
 #include "platform/KvStore.h"
 #include "platform/PlatformProtocol.h"
 #include "platform/PlatformSchema.h"
 #include "sardinehollow_gateway/application/GatewayApplication.h"
 #include "support/FreeAddress.h"
+#include "support/RawServer.h"
 #include "support/StandinFixture.h"
 
 #include <Poco/Net/HTTPClientSession.h>
--- a/tests/adapter/ServerTrackerTest.cpp
+++ b/tests/adapter/ServerTrackerTest.cpp
@@ -95,7 +95,7 @@
     world.tracker.onChanged({TrackerWorld::entry("b"), TrackerWorld::removal("b")});
     CHECK(world.knows("a"));
     CHECK_FALSE(world.knows("b"));
-    world.tracker.onChanged({TrackerWorld::removal("a"), TrackerWorld::entry("a"),
-                             TrackerWorld::removal("a")});
+    world.tracker.onChanged(
+            {TrackerWorld::removal("a"), TrackerWorld::entry("a"), TrackerWorld::removal("a")});
     CHECK_FALSE(world.knows("a"));
 }
--- a/tests/daemon/PoolLogTest.cpp
+++ b/tests/daemon/PoolLogTest.cpp
@@ -42,7 +42,8 @@
     world.poolLog.look({world.pool});
     // The server's line, and the pool's: its room has changed.
     CHECK(world.lines() == 5);
-    CHECK(world.text.str().find(R"("server":"a","pool":"main","state":"avoided","before":"serving")")
+    CHECK(world.text.str().find(
+                  R"("server":"a","pool":"main","state":"avoided","before":"serving")")
           != std::string::npos);
 }
 
--- a/tests/daemon/RollingRestartTest.cpp
+++ b/tests/daemon/RollingRestartTest.cpp
@@ -231,8 +231,7 @@
         deployment.daemons[index].reset();
         const int whenLeft = caller.completed;
         const bool servedOn = eventually([&] { return caller.completed > whenLeft + 5; });
-        deployment.daemons[index]
-                = Deployment::start(deployment.settings[index]);
+        deployment.daemons[index] = Deployment::start(deployment.settings[index]);
         const bool ready = deployment.waitUntilReady();
         REQUIRE(caller.stop() == "");
         REQUIRE(gone);
