Build a request's log line only if it is written

Under overload most lines about requests are left out (200 a second are written), and each was built first. EventLog::requestWith() takes a function that builds the line once the bound allows it; both interfaces use it.

--- a/modules/sardinehollow_entry/handlers/WorkExchange.cpp
+++ b/modules/sardinehollow_entry/handlers/WorkExchange.cpp
@@ -574,7 +574,8 @@
     m_context.loop.cancel(m_timer);
     const core::Instant now = m_context.services.clock.now();
     m_record.endHold(now);
-    m_context.services.log.request(m_record.line(m_exchange, callerAddress(), now), now);
+    m_context.services.log.requestWith(
+            [&] { return m_record.line(m_exchange, callerAddress(), now); }, now);
     m_context.exchanges.deliver(m_context.services.policy.cancel(m_exchange.offer.id));
     m_inFlight.reset();
     m_context.exchanges.remove(m_exchange.offer.id);
--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -496,6 +496,23 @@
     m_services.metrics.countOutcome(outcome);
     if (outcome == RequestOutcome::Delivered)
         m_services.metrics.recordLatency(m_service, now - m_startedAt);
+    m_services.log.requestWith([&] { return requestLine(outcome, status, detail, now); }, now);
+    const bool isAnswered = outcome == RequestOutcome::Delivered
+            || outcome == RequestOutcome::CallerLeft || outcome == RequestOutcome::ResponseCut;
+    if (isAnswered)
+        return;
+    HTTPResponse response(static_cast<HTTPResponse::HTTPStatus>(status));
+    response.set("Content-Type", "application/problem+json");
+    if (status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE) {
+        const double seconds = std::chrono::duration<double>(retryAfter).count();
+        response.set("Retry-After", Poco::NumberFormatter::format(seconds, 1));
+    }
+    m_sink.sendResponse(response, "{\"title\":\"" + std::string(toName(outcome)) + "\"}");
+}
+
+logging::LogLine Exchange::requestLine(RequestOutcome outcome, int status,
+                                       const std::string &detail, core::Instant now) const
+{
     logging::LogLine line("request");
     line.text("id", m_facts.requestId)
             .text("caller", m_caller)
@@ -518,18 +535,7 @@
     for (const std::string &id : m_tried)
         servers += (servers.empty() ? "" : " ") + id;
     line.text("servers", servers);
-    m_services.log.request(line, now);
-    const bool isAnswered = outcome == RequestOutcome::Delivered
-            || outcome == RequestOutcome::CallerLeft || outcome == RequestOutcome::ResponseCut;
-    if (isAnswered)
-        return;
-    HTTPResponse response(static_cast<HTTPResponse::HTTPStatus>(status));
-    response.set("Content-Type", "application/problem+json");
-    if (status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE) {
-        const double seconds = std::chrono::duration<double>(retryAfter).count();
-        response.set("Retry-After", Poco::NumberFormatter::format(seconds, 1));
-    }
-    m_sink.sendResponse(response, "{\"title\":\"" + std::string(toName(outcome)) + "\"}");
+    return line;
 }
 
 void Exchange::removeBackend()
--- a/modules/sardinehollow_gateway/exchange/Exchange.h
+++ b/modules/sardinehollow_gateway/exchange/Exchange.h
@@ -58,6 +58,9 @@
     void noteAnswered();
     void deliver();
     void finish(RequestOutcome outcome, int status, const std::string &detail);
+    /** What the log says of the request at its end. */
+    logging::LogLine requestLine(RequestOutcome outcome, int status, const std::string &detail,
+                                 core::Instant now) const;
     void removeBackend();
 
     GatewayServices &m_services;
--- a/modules/sardinehollow_logging/EventLog.cpp
+++ b/modules/sardinehollow_logging/EventLog.cpp
@@ -27,6 +27,12 @@
 }
 
 void EventLog::request(const LogLine &line, core::Instant now)
+{
+    if (takePermit(now))
+        state(line);
+}
+
+bool EventLog::takePermit(core::Instant now)
 {
     std::uint64_t omitted = 0;
     {
@@ -34,7 +40,7 @@
         if (!m_permits.take(now)) {
             ++m_omitted;
             ++m_omittedSinceLine;
-            return;
+            return false;
         }
         if (now - m_omissionsSaidAt >= omissionInterval) {
             omitted = std::exchange(m_omittedSinceLine, 0);
@@ -43,7 +49,7 @@
     }
     if (omitted > 0)
         state(LogLine("lines-omitted").number("count", static_cast<std::int64_t>(omitted)));
-    state(line);
+    return true;
 }
 
 void EventLog::state(const LogLine &line)
--- a/modules/sardinehollow_logging/EventLog.h
+++ b/modules/sardinehollow_logging/EventLog.h
@@ -30,6 +30,13 @@
 
     /** Writes a line about one request, if the bound allows it. */
     void request(const LogLine &line, core::Instant now);
+    /** The same for a line that is built only if it is written. */
+    template <typename Build>
+    void requestWith(const Build &build, core::Instant now)
+    {
+        if (takePermit(now))
+            state(build());
+    }
     /** Writes a line about the daemon itself: start, stop, beliefs and dependencies. */
     void state(const LogLine &line);
 
@@ -39,6 +46,9 @@
     std::uint64_t omitted() const { return m_omitted; }
 
 private:
+    /** Counts a line that is left out, and says at times how many were. */
+    bool takePermit(core::Instant now);
+
     spdlog::logger m_logger;
     std::mutex m_mutex;
     core::TokenBucket m_permits;
