--- /dev/null
+++ b/tests/gateway/GatewaySettingsTest.cpp
@@ -0,0 +1,68 @@
+#include "sardinehollow_gateway/application/GatewaySettingsReader.h"
+
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <catch2/catch.hpp>
+
+#include <sstream>
+
+using namespace sardinehollow;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string complete = R"({
+  "vm": "vm-1", "failureDomain": "east-a", "region": "east", "callerAddress": "10.0.0.1:1",
+  "readinessAddress": "10.0.0.1:2", "directoryAddress": "10.0.0.1:3",
+  "metricsAddress": "10.0.0.1:4", "storeAddress": "10.0.0.9:1", "regions": {"east-a": "east"},
+  "retryRatio": 0.2, "retryAllowance": 60, "retryWindowSeconds": 10, "stopGraceSeconds": 6,
+  "configurationKnownWithinSeconds": 3, "leavingKnownWithinSeconds": 2.5,
+  "shortestLeaseSeconds": 1})";
+
+// The settings with one field replaced, or removed for an empty value.
+std::string with(const std::string &field, const Poco::Dynamic::Var &value)
+{
+    Poco::JSON::Object::Ptr object
+            = Poco::JSON::Parser().parse(complete).extract<Poco::JSON::Object::Ptr>();
+    if (value.isEmpty())
+        object->remove(field);
+    else
+        object->set(field, value);
+    std::ostringstream text;
+    object->stringify(text);
+    return text.str();
+}
+
+} // namespace
+
+TEST_CASE("A store's watch is held to the smaller of the times within which changes must be known")
+{
+    const auto settings = gateway::readGatewaySettings(complete);
+    REQUIRE(settings);
+    CHECK(settings->changesKnownWithin == 2500ms);
+    CHECK(settings->self.name == "vm-1");
+    CHECK(settings->stopGrace == 6s);
+    const auto other = gateway::readGatewaySettings(with("configurationKnownWithinSeconds", 1));
+    REQUIRE(other);
+    CHECK(other->changesKnownWithin == 1s);
+}
+
+TEST_CASE("Each wrong field of the settings is named, all of them at once")
+{
+    // Guards against a daemon that starts with a default where its platform gave no value.
+    for (const char *field :
+         {"vm", "callerAddress", "storeAddress", "regions", "retryRatio", "stopGraceSeconds",
+          "leavingKnownWithinSeconds", "shortestLeaseSeconds"}) {
+        CAPTURE(field);
+        const auto settings = gateway::readGatewaySettings(with(field, {}));
+        REQUIRE_FALSE(settings);
+        CHECK(config::toText(settings.error()).find(field) != std::string::npos);
+    }
+    const auto unknown = gateway::readGatewaySettings(with("retryRatoi", 0.2));
+    REQUIRE_FALSE(unknown);
+    CHECK(config::toText(unknown.error()).find("retryRatoi") != std::string::npos);
+    const auto several
+            = gateway::readGatewaySettings(R"({"retryRatio": 7, "stopGraceSeconds": 0})");
+    REQUIRE_FALSE(several);
+    CHECK(several.error().size() >= 10);
+}
