Read keys and their revision at one moment in the stand-in's store

Cause: the stand-in answered a range with keys read under its lock and a revision read later. A change in between was in neither: not among the keys, and before the revision from which the client's watch starts. A daemon that started at that moment kept an old configuration until the next change.

Ruled out: the product's watch and mirror, which start from the revision that the first page of a range names and pass on all that follows.

MemoryStore::range returns both. The etcd stand-in's watch messages name the revision up to which all changes were sent, too.

--- a/modules/sardinehollow_standin/platform/EtcdHandler.cpp
+++ b/modules/sardinehollow_standin/platform/EtcdHandler.cpp
@@ -246,11 +246,12 @@
 
 Object::Ptr EtcdHandler::range(const Object &body)
 {
+    const MemoryStore::Range found
+            = m_state.store.range(decode(body, "key"), decode(body, "range_end"));
     Array::Ptr entries = new Array;
-    for (const auto &[key, stored] :
-         m_state.store.range(decode(body, "key"), decode(body, "range_end")))
+    for (const auto &[key, stored] : found.entries)
         entries->add(toObject(key, stored));
-    Object::Ptr reply = withHeader(m_state.store.revision());
+    Object::Ptr reply = withHeader(found.revision);
     reply->set("kvs", entries);
     reply->set("count", std::to_string(entries->size()));
     return reply;
@@ -296,6 +297,8 @@
             std::this_thread::sleep_for(silencePoll);
             continue;
         }
+        // All changes up to here have been sent if none comes: a client goes on from this revision.
+        const std::int64_t reached = m_state.store.revision();
         const std::vector<StoreEvent> events
                 = m_state.store.waitForEvents(key, end, from, watchPoll);
         const auto now = std::chrono::steady_clock::now();
@@ -305,7 +308,8 @@
         lastMessage = now;
         if (!events.empty())
             from = events.back().stored.modRevision + 1;
-        sendMessage(output, toMessage(m_state.store.revision(), events));
+        sendMessage(output,
+                    toMessage(events.empty() ? reached : events.back().stored.modRevision, events));
     }
     if (m_state.outage)
         closeConnection(request);
--- a/modules/sardinehollow_standin/platform/KvHandler.cpp
+++ b/modules/sardinehollow_standin/platform/KvHandler.cpp
@@ -151,10 +151,10 @@
 
 KvHandler::Answer KvHandler::readKey(const std::string &key)
 {
-    const auto entries = m_state.store.range(key, "");
+    const auto [entries, revision] = m_state.store.range(key, "");
     Object::Ptr body = entries.empty() ? Object::Ptr(new Object)
                                        : toItem(entries.front().first, entries.front().second);
-    body->set("storeRevision", m_state.store.revision());
+    body->set("storeRevision", revision);
     return {entries.empty() ? HTTPResponse::HTTP_NOT_FOUND : HTTPResponse::HTTP_OK, body};
 }
 
@@ -164,14 +164,14 @@
     const auto after = query.find("after");
     // A NUL behind the last key of a page makes the first key after it.
     const std::string from = after == query.end() ? prefix : after->second + std::string(1, '\0');
-    const auto entries = m_state.store.range(from, prefixEnd(prefix));
+    const auto [entries, revision] = m_state.store.range(from, prefixEnd(prefix));
     Array::Ptr items = new Array;
     for (std::size_t index = 0; index < std::min(entries.size(), pageItems); ++index)
         items->add(toItem(entries[index].first, entries[index].second));
     Object::Ptr body = new Object;
     body->set("items", items);
     body->set("hasMore", entries.size() > pageItems);
-    body->set("storeRevision", m_state.store.revision());
+    body->set("storeRevision", revision);
     return {HTTPResponse::HTTP_OK, body};
 }
 
--- a/modules/sardinehollow_standin/store/MemoryStore.cpp
+++ b/modules/sardinehollow_standin/store/MemoryStore.cpp
@@ -20,17 +20,19 @@
     , m_historyLimit(historyLimit)
 { }
 
-std::vector<MemoryStore::Entry> MemoryStore::range(const std::string &key, const std::string &end)
+MemoryStore::Range MemoryStore::range(const std::string &key, const std::string &end)
 {
     const std::lock_guard lock(m_mutex);
     expireLeases();
-    std::vector<Entry> entries;
+    Range result;
+    // A watch starts at this revision, so that it has to be the one of the entries.
+    result.revision = m_revision;
     for (auto item = m_values.lower_bound(key); item != m_values.end(); ++item) {
         if (!isInRange(item->first, key, end))
             break;
-        entries.push_back(*item);
+        result.entries.push_back(*item);
     }
-    return entries;
+    return result;
 }
 
 bool MemoryStore::transact(const std::vector<Condition> &conditions,
--- a/modules/sardinehollow_standin/store/MemoryStore.h
+++ b/modules/sardinehollow_standin/store/MemoryStore.h
@@ -35,6 +35,13 @@
         std::int64_t lease = 0;
     };
 
+    /** Keys with the revision of the store at which they were read. */
+    struct Range
+    {
+        std::vector<Entry> entries;
+        std::int64_t revision = 0;
+    };
+
     /** What is kept by snapshot() and returns with restore(). */
     struct Snapshot
     {
@@ -47,7 +54,7 @@
 
     /** Keys in [key, end); an empty end means the key alone, a single NUL means all from the key
      * on. */
-    std::vector<Entry> range(const std::string &key, const std::string &end);
+    Range range(const std::string &key, const std::string &end);
     /** Applies the operations if all conditions hold; returns whether they did. */
     bool transact(const std::vector<Condition> &conditions,
                   const std::vector<Operation> &operations);
--- a/tests/platform/StoreFaultTest.cpp
+++ b/tests/platform/StoreFaultTest.cpp
@@ -103,7 +103,7 @@
     REQUIRE_FALSE(reply);
     CHECK(reply.error().kind == fault.expected);
     CHECK_FALSE(reply.error().remedy.empty());
-    CHECK(standin.platform().store.range(key, "").empty() == !fault.applied);
+    CHECK(standin.platform().store.range(key, "").entries.empty() == !fault.applied);
 }
 
 TEST_CASE("A silent kept connection does not fail the calls after it")
@@ -141,7 +141,7 @@
     platform::EtcdStore store({refusing.platformAddress(), serving.platformAddress()}, longTimeout);
     REQUIRE(refusing.faults().apply(R"({"storeRefuse": true})").empty());
     REQUIRE(store.transact(purpose, {{key, 0}}, {{key, "value", 0}}));
-    CHECK(serving.platform().store.range(key, "").size() == 1);
+    CHECK(serving.platform().store.range(key, "").entries.size() == 1);
 }
 
 TEST_CASE("A compare on an old revision fails and a lease that lapsed is not found")
