Wait longer than the deadline for an answer in claim_truth.py

A posting whose server cannot be reached is held until its deadline of 10 s, and the test's client timed out after 10 s as well: in a run alone the two answers came after 10.003 and 10.002 s. The client now waits 20 s; the outcomes that the test wants are the same. Ruled out: a connection that the daemon cut, since the daemon answers in each run, at the deadline.

--- a/tests/processes/claim_truth.py
+++ b/tests/processes/claim_truth.py
@@ -132,7 +132,8 @@
         if key:
             headers["Idempotency-Key"] = key
         try:
-            _, answer, data = http(address or self.address, path, method, headers, body)
+            # Longer than the deadline, at which a held request is answered.
+            _, answer, data = http(address or self.address, path, method, headers, body, 20)
         except Exception:  # The client raises several kinds for a response that ends early.
             return "reset", None, b""
         return answer["Sardinehollow-Outcome"], answer["Sardinehollow-Reason"], data
