--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -237,6 +237,8 @@
         endAttempt(RetryReason::NotConnected, exception.displayText());
         return;
     }
+    if (server->hasAnnouncedLeave())
+        m_services.metrics.countRequestAfterLeave();
     m_services.routing.takeColdPermit(*server, m_services.loop.now());
     ++m_attempts;
     Poco::Net::HTTPRequest request = m_request;
@@ -298,6 +300,24 @@
     m_responseFields = m_services.protocol.readBackendResponse(response);
     m_hasKnownLength = hasKnownLength;
     m_responseBody.clear();
+    applyServerState();
+}
+
+void Exchange::applyServerState()
+{
+    const bool isNews = m_responseFields.isLeaving && !m_server->hasAnnouncedLeave();
+    // A misdirected response is about another server.
+    if (!isNews || m_responseFields.isMisdirected)
+        return;
+    m_server->onLeaveAnnounced();
+    m_services.metrics.countLeaveAnnouncement();
+    m_services.log.write(
+            logging::LogLine("server-leave-announced")
+                    .text("server", m_server->server().id)
+                    .text("service", m_server->server().service)
+                    .text("id", m_requestFields.requestId)
+                    .text("entry", m_server->server().isDraining ? "draining" : "ready")
+                    .number("removed", m_server->isRemoved() ? 1 : 0));
 }
 
 void Exchange::onResponseBody(std::string &&bytes)
--- a/modules/sardinehollow_gateway/exchange/Exchange.h
+++ b/modules/sardinehollow_gateway/exchange/Exchange.h
@@ -54,6 +54,8 @@
     bool mayRetry(RetryReason reason);
     /** Responds with an error after the last attempt has failed. */
     void finishFailed(RetryReason reason, const std::string &detail);
+    /** Applies what the response says of its server's state. */
+    void applyServerState();
     void startStreaming();
     /** Records a complete response, which clears the server's failures and the request's reports.
      */
--- a/modules/sardinehollow_gateway/exchange/WireProtocol.h
+++ b/modules/sardinehollow_gateway/exchange/WireProtocol.h
@@ -44,6 +44,8 @@
     bool didNotRun = false;
     /** Whether another server than the addressed one responded. */
     bool isMisdirected = false;
+    /** Whether the server states that it is about to stop. */
+    bool isLeaving = false;
     std::optional<Load> load;
     /** Whether there is a load report that cannot be parsed. */
     bool hasMalformedLoad = false;
--- a/modules/sardinehollow_gateway/status/GatewayMetrics.h
+++ b/modules/sardinehollow_gateway/status/GatewayMetrics.h
@@ -29,6 +29,8 @@
         ++m_failedAttempts[static_cast<std::size_t>(reason)];
     }
     void countAcceptFailure() { ++m_acceptFailures; }
+    void countLeaveAnnouncement() { ++m_leaveAnnouncements; }
+    void countRequestAfterLeave() { ++m_requestsAfterLeave; }
     void recordLatency(const std::string &service, core::Duration latency);
     std::uint64_t outcomes(RequestOutcome outcome) const
     {
@@ -42,6 +44,8 @@
     std::array<std::uint64_t, requestOutcomeCount> m_outcomes {};
     std::array<std::uint64_t, retryReasonCount> m_failedAttempts {};
     std::uint64_t m_acceptFailures = 0;
+    std::uint64_t m_leaveAnnouncements = 0;
+    std::uint64_t m_requestsAfterLeave = 0;
     std::map<std::string, std::unique_ptr<metrics::LatencyHistogram>> m_latencies;
 };
 
--- a/modules/sardinehollow_routing/backends/BackendState.h
+++ b/modules/sardinehollow_routing/backends/BackendState.h
@@ -30,6 +30,10 @@
     bool isRemoved() const { return m_isRemoved; }
     void setRemoved(bool removed) { m_isRemoved = removed; }
 
+    /** Records a response in which the server states that it is about to stop. */
+    void onLeaveAnnounced() { m_hasAnnouncedLeave = true; }
+    bool hasAnnouncedLeave() const { return m_hasAnnouncedLeave; }
+
     void onRequestSent(core::Instant now);
     /** Records the end of a request, with or without a response. */
     void onRequestEnded();
@@ -97,6 +101,7 @@
     const std::string m_region;
     const std::uint64_t m_hash;
     bool m_isRemoved = false;
+    bool m_hasAnnouncedLeave = false;
     std::uint32_t m_inFlight = 0;
     /** Load at m_loadEstimatedAt; decays by this daemon's share of the server's throughput. */
     double m_load = 0;
