Stop sending to a server that announces in a response that it leaves

Cause: a server left the selection only when its entry in the store changed. While the store is away, turns a daemon away or is late, the daemon went on sending although each response of the server said so. Class: a decision that hangs on one way of learning, while a nearer and earlier one is at hand. Change: BackendState::isLeaving() is true from the response on. An entry that was ready all along does not undo it, nor one that lapses and is written again; a change from draining to ready does, and so does a new start. The counter of requests after an announcement goes again: it cannot rise any more.

--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -237,8 +237,6 @@
         endAttempt(RetryReason::NotConnected, exception.displayText());
         return;
     }
-    if (server->hasAnnouncedLeave())
-        m_services.metrics.countRequestAfterLeave();
     m_services.routing.takeColdPermit(*server, m_services.loop.now());
     ++m_attempts;
     Poco::Net::HTTPRequest request = m_request;
--- a/modules/sardinehollow_gateway/status/GatewayMetrics.cpp
+++ b/modules/sardinehollow_gateway/status/GatewayMetrics.cpp
@@ -37,9 +37,6 @@
     writer.family("leave_announcements_total", "Servers that stated in a response that they leave.",
                   "counter");
     writer.sample("leave_announcements_total", {}, std::to_string(m_leaveAnnouncements));
-    writer.family("requests_after_leave_total",
-                  "Attempts at servers that had stated in a response that they leave.", "counter");
-    writer.sample("requests_after_leave_total", {}, std::to_string(m_requestsAfterLeave));
     writer.family("request_seconds", "Time from arrival to the response.", "histogram");
     for (const auto &[service, histogram] : m_latencies)
         histogram->appendTo(writer.text(),
--- a/modules/sardinehollow_routing/backends/BackendRegistry.cpp
+++ b/modules/sardinehollow_routing/backends/BackendRegistry.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+// Bounds the memory for servers that have left; the entries of most never return.
+constexpr std::size_t maximumLeftServers = 4096;
+
 // A server that restarts under the same id, at another address or time, is a new incarnation: the
 // state of the previous one does not apply to it.
 bool isSameStart(const BackendServer &first, const BackendServer &second)
@@ -32,6 +35,9 @@
     const auto state = std::make_shared<BackendState>(
             server, region == m_regions.end() ? std::string() : region->second);
     state->update(server, now);
+    const auto left = m_leftServers.find(server.id);
+    if (left != m_leftServers.end() && left->second == server.startedAt)
+        state->onLeaveAnnounced();
     m_servers[server.id] = state;
     m_services[server.service].push_back(state);
 }
@@ -43,10 +49,21 @@
         return;
     const BackendStatePtr state = found->second;
     state->setRemoved(true);
+    rememberLeave(*state);
     m_servers.erase(found);
     detach(state);
 }
 
+void BackendRegistry::rememberLeave(const BackendState &state)
+{
+    // Without a start time, a later entry under the id may be that of a new incarnation.
+    if (!state.hasAnnouncedLeave() || state.server().startedAt == 0)
+        return;
+    if (m_leftServers.size() >= maximumLeftServers)
+        m_leftServers.erase(m_leftServers.begin());
+    m_leftServers[state.server().id] = state.server().startedAt;
+}
+
 void BackendRegistry::detach(const BackendStatePtr &state)
 {
     std::vector<BackendStatePtr> &servers = m_services[state->server().service];
--- a/modules/sardinehollow_routing/backends/BackendRegistry.h
+++ b/modules/sardinehollow_routing/backends/BackendRegistry.h
@@ -35,11 +35,15 @@
 
 private:
     void detach(const BackendStatePtr &state);
+    /** Remembers whether the server has announced its departure, should its entry return. */
+    void rememberLeave(const BackendState &state);
 
     const std::map<std::string, std::string> m_regions;
     std::map<std::string, BackendStatePtr> m_servers;
     std::map<std::string, std::vector<BackendStatePtr>> m_services;
     std::set<std::string> m_evacuated;
+    /** Start times, by id, of removed servers that had announced their departure. */
+    std::map<std::string, std::int64_t> m_leftServers;
 };
 
 } // namespace sardinehollow::routing
--- a/modules/sardinehollow_routing/backends/BackendState.cpp
+++ b/modules/sardinehollow_routing/backends/BackendState.cpp
@@ -36,6 +36,9 @@
 
 void BackendState::update(const BackendServer &server, core::Instant now)
 {
+    // An entry that was ready all along may be older than the announcement.
+    if (m_server.isDraining && !server.isDraining)
+        m_hasAnnouncedLeave = false;
     m_server = server;
     if (server.coldFor.count() > 0)
         setCold(server.coldFor, now);
--- a/modules/sardinehollow_routing/backends/BackendState.h
+++ b/modules/sardinehollow_routing/backends/BackendState.h
@@ -30,9 +30,14 @@
     bool isRemoved() const { return m_isRemoved; }
     void setRemoved(bool removed) { m_isRemoved = removed; }
 
-    /** Records a response in which the server states that it is about to stop. */
+    /**
+     * Records a response in which the server states that it is about to stop. This holds until its
+     * store entry changes from draining to ready.
+     */
     void onLeaveAnnounced() { m_hasAnnouncedLeave = true; }
     bool hasAnnouncedLeave() const { return m_hasAnnouncedLeave; }
+    /** Whether the server is about to stop, by its store entry or by a response. */
+    bool isLeaving() const { return m_server.isDraining || m_hasAnnouncedLeave; }
 
     void onRequestSent(core::Instant now);
     /** Records the end of a request, with or without a response. */
--- a/modules/sardinehollow_routing/selection/ServerSelector.cpp
+++ b/modules/sardinehollow_routing/selection/ServerSelector.cpp
@@ -103,7 +103,7 @@
 
 bool ServerSelector::isEligible(const Route &route, const BackendState &server) const
 {
-    if (server.server().isDraining || m_registry.isEvacuated(server.server().failureDomain))
+    if (server.isLeaving() || m_registry.isEvacuated(server.server().failureDomain))
         return false;
     const std::vector<std::string> &homes = route.homeRegions;
     return homes.empty() || std::find(homes.begin(), homes.end(), server.region()) != homes.end();
--- a/tests/adapter/GatewayFixture.h
+++ b/tests/adapter/GatewayFixture.h
@@ -117,12 +117,13 @@
 
     /** Sends a caller's request; the status is 0 if no complete response was received. */
     Response call(const std::string &method, const std::string &target, const std::string &id,
-                  const std::string &body = "", int deadlineMilliseconds = 4000) const
+                  const std::string &body = "", int deadlineMilliseconds = 4000,
+                  const std::string &object = "17") const
     {
         Poco::Net::HTTPRequest request(method, target, "HTTP/1.1");
         request.set("Host", "h.example");
         request.set("Attempt-Id", id);
-        request.set("Cookie", "Affinity-Key=17");
+        request.set("Cookie", "Affinity-Key=" + object);
         request.set("Deadline-Ms", std::to_string(deadlineMilliseconds));
         return send(settings.self.address, request, body);
     }
--- a/tests/routing/ServerSelectorTest.cpp
+++ b/tests/routing/ServerSelectorTest.cpp
@@ -222,3 +222,49 @@
     world.now += std::chrono::seconds(5);
     CHECK(serverOf(world.choose(object)) != home);
 }
+
+// Guards against DRAIN: an entry in the store that says less than the server's responses put a
+// leaving server back into the selection.
+TEST_CASE("An announced departure holds until the server's entry withdraws it or it starts again")
+{
+    struct Step
+    {
+        const char *name;
+        /** State of the entry that is written; removed and written again if isRewritten. */
+        bool isDraining;
+        bool isRewritten;
+        std::int64_t startedAt;
+        bool isSelected;
+    };
+    struct Row
+    {
+        const char *name;
+        std::vector<Step> steps;
+    };
+    const Row row = GENERATE(values<Row>({
+            {"late entry", {{"still ready", false, false, 7, false}}},
+            {"entry lapses", {{"written again", false, true, 7, false}}},
+            {"withdrawn", {{"draining", true, false, 7, false}, {"ready", false, false, 7, true}}},
+            {"restart", {{"new start", false, false, 8, true}}},
+            {"restart after removal", {{"new start", false, true, 8, true}}},
+            {"lapses twice",
+             {{"written again", false, true, 7, false}, {"again", false, true, 7, false}}},
+    }));
+    INFO(row.name);
+    RoutingWorld world;
+    routing::BackendServer server = RoutingWorld::server("one", "east-a");
+    server.startedAt = 7;
+    world.registry.put(server, world.now);
+    REQUIRE(world.choose(1).server);
+    world.registry.all().at("one")->onLeaveAnnounced();
+    CHECK_FALSE(world.choose(1).server);
+    for (const Step &step : row.steps) {
+        INFO(step.name);
+        if (step.isRewritten)
+            world.registry.remove("one");
+        server.isDraining = step.isDraining;
+        server.startedAt = step.startedAt;
+        world.registry.put(server, world.now);
+        CHECK((world.choose(1).server != nullptr) == step.isSelected);
+    }
+}
