Read long lists of changes without pauses, and do not call a part of one current

Cause: the store gives a long list of changes in parts of about 500. KvWatch paused after each part, 1 s at a relay and 2 s elsewhere, and the mirror called the contents current after each part, so that a relay's followers trusted it while it was seconds behind. Class: a proof of freshness that only proves that an answer came. Change: a list of half of that size or more counts as a part: the next poll follows at once and does not wait, and only the report after it makes the contents current (WatchListener::onPartOfChanges). The product's own etcd watch is a stream without pauses and does not state currency.

--- a/modules/sardinehollow_platform/mirror/MirrorListener.h
+++ b/modules/sardinehollow_platform/mirror/MirrorListener.h
@@ -17,7 +17,10 @@
     virtual void onSnapshot(const std::vector<KeyValue> &keyValues) = 0;
     /** Called with the keys that changed, in order; a deleted key has isDeleted set. */
     virtual void onChanged(const std::vector<KeyValue> &keyValues) = 0;
-    /** Called after each report of the watch, also of one without changes. */
+    /**
+     * Called after each report of the watch, also of one without changes, unless later changes are
+     * still to be reported.
+     */
     virtual void onUpToDate() { }
     /** Called when the store cannot be read; the keys reported so far may be out of date. */
     virtual void onStoreLost(const core::Error &reason) = 0;
--- a/modules/sardinehollow_platform/mirror/PrefixMirror.cpp
+++ b/modules/sardinehollow_platform/mirror/PrefixMirror.cpp
@@ -153,12 +153,17 @@
 }
 
 void PrefixMirror::onChanged(const std::vector<KeyValue> &keyValues, std::int64_t revision)
+{
+    onPartOfChanges(keyValues, revision);
+    m_listener.onUpToDate();
+}
+
+void PrefixMirror::onPartOfChanges(const std::vector<KeyValue> &keyValues, std::int64_t revision)
 {
     reportRegained();
     advanceTo(revision);
     if (!keyValues.empty())
         m_listener.onChanged(keyValues);
-    m_listener.onUpToDate();
 }
 
 void PrefixMirror::onEnded(const core::Error &reason)
--- a/modules/sardinehollow_platform/mirror/PrefixMirror.h
+++ b/modules/sardinehollow_platform/mirror/PrefixMirror.h
@@ -63,6 +63,7 @@
      */
     std::optional<core::Error> runWatch();
     void onChanged(const std::vector<KeyValue> &keyValues, std::int64_t revision) override;
+    void onPartOfChanges(const std::vector<KeyValue> &keyValues, std::int64_t revision) override;
     void onEnded(const core::Error &reason) override;
     void reportLost(const core::Error &reason);
     void reportRegained();
--- a/modules/sardinehollow_platform/store/WatchListener.h
+++ b/modules/sardinehollow_platform/store/WatchListener.h
@@ -19,6 +19,11 @@
      * no keys, which only shows that the store can be reached.
      */
     virtual void onChanged(const std::vector<KeyValue> &keyValues, std::int64_t revision) = 0;
+    /** Like onChanged(), but later changes have already been made, and their report follows. */
+    virtual void onPartOfChanges(const std::vector<KeyValue> &keyValues, std::int64_t revision)
+    {
+        onChanged(keyValues, revision);
+    }
     /**
      * Called when the watch has ended without being stopped; later changes are not reported.
      * NotFound: the store has compacted the changes after the watch's revision. Conflict: the
--- a/tests/adapter/KvStoreTest.cpp
+++ b/tests/adapter/KvStoreTest.cpp
@@ -1,5 +1,6 @@
 #include "platform/KvStore.h"
 #include "adapter/GatewayFixture.h"
+#include "sardinehollow_core/encoding/Base64.h"
 #include "support/StandinFixture.h"
 
 #include <catch2/catch.hpp>
@@ -57,6 +58,27 @@
     std::optional<core::Error> m_end;
 };
 
+// Counts the parts of a list of changes up to its end.
+class PartListener : public platform::WatchListener
+{
+public:
+    void onChanged(const std::vector<KeyValue> &, std::int64_t) override { m_isAtEnd = true; }
+    void onPartOfChanges(const std::vector<KeyValue> &, std::int64_t) override { ++m_parts; }
+    void onEnded(const core::Error &) override { }
+
+    int parts() const { return m_parts; }
+    /** Waits without a time-out; that of ctest ends a test whose watch pauses. */
+    void waitForEndOfList() const
+    {
+        while (!m_isAtEnd)
+            std::this_thread::sleep_for(1ms);
+    }
+
+private:
+    std::atomic<int> m_parts {0};
+    std::atomic<bool> m_isAtEnd {false};
+};
+
 struct Fixture
 {
     Fixture()
@@ -155,6 +177,40 @@
     CHECK(coalescingStore.callCounters().calls(platform::CallKind::Watch, purpose) == calls);
 }
 
+// Guards against DRAIN and CONFIG: a daemon that had been cut off read a long list of changes in
+// parts, paused after each, and called its contents current after the first part.
+TEST_CASE("A watch reads a long list of changes without a pause, and is up to date at its end")
+{
+    struct Row
+    {
+        const char *name;
+        std::size_t changes;
+        std::size_t valueBytes;
+    };
+    const Row row = GENERATE(values<Row>({{"many", 500, 1}, {"large", 2, 300'000}}));
+    INFO(row.name);
+    constexpr std::int64_t parts = 3;
+    const std::string value = core::toBase64(std::string(row.valueBytes, 'x'));
+    tests::RawServer server([&](const std::string &head) {
+        const std::int64_t after = std::stoll(head.substr(head.find("after=") + 6));
+        std::string events;
+        for (std::size_t index = 0; after < parts && index < row.changes; ++index)
+            events += (index > 0 ? "," : "") + std::string(R"({"key":"servers/s)")
+                    + std::to_string(index) + R"(","value":")" + value + R"(","revision":)"
+                    + std::to_string(after + 1) + R"(,"createRevision":1,"lease":0})";
+        const std::string body = R"({"events":[)" + events + R"(],"storeRevision":)"
+                + std::to_string(std::min(after + 1, parts)) + "}";
+        return tests::RawServer::Reply {"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                                        "Content-Length: "
+                                        + std::to_string(body.size()) + "\r\n\r\n" + body};
+    });
+    adapter::KvStore client(server.address(), 1h);
+    PartListener listener;
+    const auto watch = client.watch(purpose, "", true, 0, listener);
+    listener.waitForEndOfList();
+    CHECK(listener.parts() == parts);
+}
+
 TEST_CASE("A watch from a compacted revision ends, so that its owner reads a new snapshot")
 {
     Fixture fixture;
--- a/tests/gateway/PrefixMirrorTest.cpp
+++ b/tests/gateway/PrefixMirrorTest.cpp
@@ -126,6 +126,22 @@
     CHECK(recorder.snapshots == 1);
 }
 
+// Guards against DRAIN: a relay told its followers that its contents were current while it was
+// still reading what had changed during an outage.
+TEST_CASE("A mirror is up to date only after the last part of a list of changes")
+{
+    WatchableStore store;
+    Recorder recorder;
+    platform::PrefixMirror mirror(store, CallPurpose::Configuration, "", recorder, 1);
+    platform::WatchListener &watch = store.waitForWatch(1);
+    watch.onPartOfChanges({KeyValue {"servers/a", "x", 3}}, 5);
+    CHECK(recorder.changes == 1);
+    CHECK(recorder.reports == 0);
+    watch.onChanged({KeyValue {"servers/b", "x", 6}}, 6);
+    CHECK(recorder.changes == 2);
+    CHECK(recorder.reports == 1);
+}
+
 TEST_CASE("A new snapshot is read after the store has compacted its history")
 {
     WatchableStore store;
