--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -29,6 +29,7 @@
 // With less time left, another attempt is unlikely to succeed.
 constexpr core::Duration minimumAttemptTime = std::chrono::milliseconds(30);
 constexpr double percent = 100;
+constexpr double secondsPerMinute = 60;
 // Failed connections do not count as attempts, but are bounded because they take time.
 constexpr std::uint32_t maximumConnectionFailures = 3;
 // The server may have closed or dropped a connection that was idle for longer, without a sign. It
@@ -303,19 +304,44 @@
 
 void Exchange::applyServerState()
 {
-    const bool isNews = m_responseFields.isLeaving && !m_server->hasAnnouncedLeave();
     // A misdirected response is about another server.
-    if (!isNews || m_responseFields.isMisdirected)
+    if (m_responseFields.isMisdirected)
         return;
-    m_server->onLeaveAnnounced();
-    m_services.metrics.countLeaveAnnouncement();
-    m_services.log.write(
-            logging::LogLine("server-leave-announced")
-                    .text("server", m_server->server().id)
-                    .text("service", m_server->server().service)
-                    .text("id", m_requestFields.requestId)
-                    .text("entry", m_server->server().isDraining ? "draining" : "ready")
-                    .number("removed", m_server->isRemoved() ? 1 : 0));
+    if (m_responseFields.isLeaving && !m_server->hasAnnouncedLeave()) {
+        m_server->onLeaveAnnounced();
+        m_services.metrics.countLeaveAnnouncement();
+        m_services.log.write(
+                serverLine("server-leave-announced")
+                        .text("entry", m_server->server().isDraining ? "draining" : "ready")
+                        .number("removed", m_server->isRemoved() ? 1 : 0));
+    }
+    applyRateLimit();
+}
+
+void Exchange::applyRateLimit()
+{
+    routing::ServerRateLimit &limit = m_server->rateLimit();
+    const bool wasActive = limit.isActive();
+    if (m_responseFields.hasMalformedLimit)
+        m_services.metrics.countMalformedLimit();
+    else if (m_responseFields.requestsPerSecond)
+        limit.set(*m_responseFields.requestsPerSecond);
+    else if (m_responseFields.isSigned)
+        limit.clear();
+    if (limit.isActive() == wasActive)
+        return;
+    const double perMinute = limit.requestsPerSecond() * secondsPerMinute;
+    m_services.log.write(serverLine(wasActive ? "server-limit-ended" : "server-limit-announced")
+                                 .number("perMinute", static_cast<std::int64_t>(perMinute)));
+}
+
+logging::LogLine Exchange::serverLine(std::string_view event) const
+{
+    logging::LogLine line(event);
+    line.text("server", m_server->server().id)
+            .text("service", m_server->server().service)
+            .text("id", m_requestFields.requestId);
+    return line;
 }
 
 void Exchange::onResponseBody(std::string &&bytes)
--- a/modules/sardinehollow_gateway/exchange/Exchange.h
+++ b/modules/sardinehollow_gateway/exchange/Exchange.h
@@ -56,6 +56,10 @@
     void finishFailed(RetryReason reason, const std::string &detail);
     /** Applies what the response says of its server's state. */
     void applyServerState();
+    /** Applies the limit that the response states, or its absence. */
+    void applyRateLimit();
+    /** Returns the start of a log line about the server. */
+    logging::LogLine serverLine(std::string_view event) const;
     void startStreaming();
     /** Records a complete response, which clears the server's failures and the request's reports.
      */
--- a/modules/sardinehollow_gateway/exchange/WireProtocol.h
+++ b/modules/sardinehollow_gateway/exchange/WireProtocol.h
@@ -46,6 +46,10 @@
     bool isMisdirected = false;
     /** Whether the server states that it is about to stop. */
     bool isLeaving = false;
+    /** Requests per second that the server accepts from all daemons together; empty: no limit. */
+    std::optional<double> requestsPerSecond;
+    /** Whether the response states a limit that cannot be parsed. */
+    bool hasMalformedLimit = false;
     std::optional<Load> load;
     /** Whether there is a load report that cannot be parsed. */
     bool hasMalformedLoad = false;
--- a/modules/sardinehollow_gateway/status/GatewayMetrics.cpp
+++ b/modules/sardinehollow_gateway/status/GatewayMetrics.cpp
@@ -37,6 +37,9 @@
     writer.family("leave_announcements_total", "Servers that stated in a response that they leave.",
                   "counter");
     writer.sample("leave_announcements_total", {}, std::to_string(m_leaveAnnouncements));
+    writer.family("server_limits_malformed_total",
+                  "Request limits of servers that could not be parsed.", "counter");
+    writer.sample("server_limits_malformed_total", {}, std::to_string(m_malformedLimits));
     writer.family("request_seconds", "Time from arrival to the response.", "histogram");
     for (const auto &[service, histogram] : m_latencies)
         histogram->appendTo(writer.text(),
--- a/modules/sardinehollow_gateway/status/GatewayMetrics.h
+++ b/modules/sardinehollow_gateway/status/GatewayMetrics.h
@@ -30,6 +30,7 @@
     }
     void countAcceptFailure() { ++m_acceptFailures; }
     void countLeaveAnnouncement() { ++m_leaveAnnouncements; }
+    void countMalformedLimit() { ++m_malformedLimits; }
     void recordLatency(const std::string &service, core::Duration latency);
     std::uint64_t outcomes(RequestOutcome outcome) const
     {
@@ -44,6 +45,7 @@
     std::array<std::uint64_t, retryReasonCount> m_failedAttempts {};
     std::uint64_t m_acceptFailures = 0;
     std::uint64_t m_leaveAnnouncements = 0;
+    std::uint64_t m_malformedLimits = 0;
     std::map<std::string, std::unique_ptr<metrics::LatencyHistogram>> m_latencies;
 };
 
--- a/modules/sardinehollow_routing/backends/BackendState.h
+++ b/modules/sardinehollow_routing/backends/BackendState.h
@@ -3,6 +3,7 @@
 #include "sardinehollow_core/time/Instant.h"
 #include "sardinehollow_core/time/TokenBucket.h"
 #include "sardinehollow_routing/backends/BackendServer.h"
+#include "sardinehollow_routing/backends/ServerRateLimit.h"
 
 #include <cstdint>
 #include <optional>
@@ -97,6 +98,7 @@
     void setCold(core::Duration remaining, core::Instant now) { m_coldUntil = now + remaining; }
     /** Token bucket with this daemon's share of the requests that a cold server accepts. */
     core::TokenBucket &coldPermits() { return m_coldPermits; }
+    ServerRateLimit &rateLimit() { return m_rateLimit; }
 
 private:
     /** The reported slowdown, which fades to 1 with the age of the report. */
@@ -126,6 +128,7 @@
     core::Instant m_lastConnectFailureAt {0};
     core::Instant m_coldUntil {0};
     core::TokenBucket m_coldPermits;
+    ServerRateLimit m_rateLimit;
 };
 
 } // namespace sardinehollow::routing
