Do not reuse a connection after a refusal without a request id

Here: a refusal with the id of its request was skipped before the response to the next one already. One without an id was taken for the next request's refusal. Now the connection is closed after such a refusal, so that no later request can meet its repetition. A repetition that comes while the connection is idle closes it, as before. The product's own interface resets the connection after each refusal (ForwardAttempt::end). Test: "A refusal that is repeated on a kept connection ..."; its row without an id failed before (503 for a request that ran), the other one passed.

--- a/modules/sardinehollow_gateway/backend/BackendConnection.cpp
+++ b/modules/sardinehollow_gateway/backend/BackendConnection.cpp
@@ -44,6 +44,9 @@
     const BackendResponseFields fields = m_protocol.readBackendResponse(response);
     if (!fields.requestId.empty() && fields.requestId != m_requestId)
         return false;
+    // Without an id, a repetition of this refusal could not be told from one of the next request.
+    if (fields.didNotRun && fields.requestId.empty())
+        closeAfterResponse();
     if (fields.hasMalformedLoad)
         ++m_malformedLoadReports;
     if (!fields.load)
--- a/modules/sardinehollow_network/client/ClientConnection.h
+++ b/modules/sardinehollow_network/client/ClientConnection.h
@@ -45,6 +45,8 @@
     virtual void onEstablished(core::Duration /*elapsed*/) { }
     /** Returns false if the response belongs to an earlier request; it is then discarded. */
     virtual bool acceptsResponse(const Poco::Net::HTTPResponse & /*response*/) { return true; }
+    /** Closes the connection after the current response instead of reusing it. */
+    void closeAfterResponse() { m_isReusable = false; }
     /** Called when the request ends; isAnswered is true if its response was complete. */
     virtual void onRequestEnded(bool /*isAnswered*/) { }
 
--- a/tests/adapter/GatewayContractTest.cpp
+++ b/tests/adapter/GatewayContractTest.cpp
@@ -259,6 +259,45 @@
     CHECK(response.body == "right");
 }
 
+// Guards against REFUSED and TWICE: a server writes an earlier refusal once more on a kept
+// connection, and the daemon takes it for one of the next request, which the server runs.
+TEST_CASE("A refusal that is repeated on a kept connection does not refuse the next request")
+{
+    struct Row
+    {
+        const char *name;
+        bool hasId;
+    };
+    const Row row = GENERATE(values<Row>({{"with the id of its request", true}, {"no id", false}}));
+    INFO(row.name);
+    std::string refusal;
+    std::atomic<int> connectionsAtRefusal {0};
+    RawServer *running = nullptr;
+    RawServer server([&](const std::string &head) {
+        if (refusal.empty()) {
+            refusal = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n";
+            if (row.hasId)
+                refusal += "Attempt-Id: " + GatewayFixture::headerValue(head, "Attempt-Id")
+                        + "\r\n";
+            refusal += "\r\n";
+            connectionsAtRefusal = running->connectionCount();
+            return Reply {refusal};
+        }
+        const bool isKept = running->connectionCount() == connectionsAtRefusal;
+        return Reply {(isKept ? refusal : "") + GatewayFixture::completeResponse(head, "ran")};
+    });
+    running = &server;
+    GatewayFixture fixture;
+    fixture.putConfiguration(1, routes);
+    fixture.putServer("one", server);
+    fixture.start();
+    fixture.waitForServers();
+    CHECK(fixture.call("POST", "/unsafe/x", "id-1", "data").status == 503);
+    const auto response = fixture.call("POST", "/unsafe/x", "id-2", "data");
+    CHECK(response.status == 200);
+    CHECK(response.body == "ran");
+}
+
 TEST_CASE("A connection with surplus bytes after the response is not reused")
 {
     RawServer server([](const std::string &head) {
