Test that a response head that ends with its connection is no response

Here it cannot happen: ClientConnection reads a head only up to its empty line, and the attempt counts as broken if the connection ends before; the client of the store rejects such a head too (HttpConnection::receiveHead). The three new rows of the existing test passed without a change of the code: 502 for a request that may not be repeated, and one arrival at the server.

--- a/tests/adapter/GatewayContractTest.cpp
+++ b/tests/adapter/GatewayContractTest.cpp
@@ -92,6 +92,13 @@
         bytes.resize(bytes.size() - 5);
         return Reply {bytes, true};
     };
+    // The head ends where the connection does: in its first line, in a field, after its last field.
+    const auto headUpTo = [](const std::string &text) {
+        return [text](const std::string &head) {
+            const std::string bytes = GatewayFixture::completeResponse(head, "");
+            return Reply {bytes.substr(0, bytes.find(text) + text.size()), true};
+        };
+    };
     const auto closedWithoutResponse = [](const std::string &) { return Reply {"", true}; };
     const auto malformed = [](const std::string &) {
         return Reply {"\x01\x02 noise\r\n\r\n", true};
@@ -102,6 +109,9 @@
                       + "\r\nContent-Length: 2\r\n\r\nok"};
     };
     const Row row = GENERATE_COPY(values<Row>({{"cut", truncated},
+                                               {"status line only", headUpTo("200 OK\r\n")},
+                                               {"cut in a field", headUpTo("Server-Se")},
+                                               {"no empty line", headUpTo("Content-Length: 0\r\n")},
                                                {"closed", closedWithoutResponse},
                                                {"noise", malformed},
                                                {"unsigned", unsignedBody}}));
