Refuse requests that may still run when a leaving daemon stops

Here it can happen where a request may run for more than half of the grace period: the daemon refused only in the second half of it. Change: a leaving daemon refuses at once what may end after its stop, by the request's deadline and the time-out of its route; the caller can use another daemon. The refusal of the second half stays. Test: "A leaving daemon takes only requests that end before it stops"; its row with both times after the stop failed before (200, passed on). Changed test: "A leaving daemon is not ready ..." sends a request with a deadline of 4 s, which was as long as its grace period; the grace period is now 60 s and all checks are the same.

--- a/modules/sardinehollow_gateway/application/GatewayApplication.cpp
+++ b/modules/sardinehollow_gateway/application/GatewayApplication.cpp
@@ -195,6 +195,7 @@
 {
     m_stoppingSince = m_loop.now();
     m_services.isLeaving = true;
+    m_services.stopsAt = m_stoppingSince + m_settings.stopGrace - processExitTime;
     if (m_ownEntry)
         m_ownEntry->release();
     m_log.write(logging::LogLine("stopping").milliseconds("grace", m_settings.stopGrace));
@@ -216,7 +217,7 @@
     }
     m_callerListener->closeIdle(minimumIdleBeforeClose);
     const bool isDone = m_callerListener->connectionCount() == 0;
-    if (isDone || elapsed > m_settings.stopGrace - processExitTime)
+    if (isDone || m_loop.now() > m_services.stopsAt)
         m_loop.stop();
 }
 
--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -149,6 +149,11 @@
     }
     const core::Duration wait
             = std::min(m_requestFields.timeLeft.value_or(m_route->timeout), m_route->timeout);
+    if (m_services.isLeaving && m_startedAt + wait > m_services.stopsAt) {
+        refuse(RequestOutcome::Leaving,
+               "the daemon stops before the request's time is up; use another one");
+        return;
+    }
     m_deadline = m_startedAt + m_requestFields.timeLeft.value_or(m_route->timeout);
     const bool hasHome = m_route->hasAffinity && !m_requestFields.object.empty();
     m_objectHash = core::stableHash(hasHome ? m_requestFields.object : m_requestFields.requestId);
--- a/modules/sardinehollow_gateway/exchange/GatewayServices.h
+++ b/modules/sardinehollow_gateway/exchange/GatewayServices.h
@@ -20,6 +20,8 @@
     logging::EventLog &log;
     /** Graceful shutdown has begun: connections are closed after the next response. */
     bool isLeaving = false;
+    /** When a daemon that is leaving ends its open connections. */
+    core::Instant stopsAt {0};
     /** Last part of the shutdown: new requests are refused, as they could not be completed. */
     bool isRefusing = false;
 };
--- a/tests/adapter/GatewayContractTest.cpp
+++ b/tests/adapter/GatewayContractTest.cpp
@@ -393,12 +393,48 @@
     CHECK(fixture.call("GET", "/added/x", "id-3").status == 503);
 }
 
+// Guards against LOST: a request that comes late in the grace period of a planned stop is taken and
+// passed on, and its connection ends without an answer together with the grace period.
+TEST_CASE("A leaving daemon takes only requests that end before it stops")
+{
+    struct Row
+    {
+        const char *name;
+        const char *target;
+        int deadlineMilliseconds;
+        int status;
+    };
+    const Row row = GENERATE(values<Row>({
+            {"deadline before the stop", "/long/x", 4000, 200},
+            {"time-out of the route before the stop", "/unsafe/x", 100'000, 200},
+            {"both after the stop", "/long/x", 100'000, 503},
+    }));
+    INFO(row.name);
+    RawServer server([](const std::string &head) {
+        return Reply {GatewayFixture::completeResponse(head, "x")};
+    });
+    GatewayFixture fixture;
+    fixture.settings.stopGrace = std::chrono::seconds(60);
+    fixture.putConfiguration(1, routes + "," + GatewayFixture::route("long", "unsafe", 100));
+    fixture.putServer("one", server);
+    fixture.start();
+    fixture.waitForServers();
+    fixture.application->requestStop();
+    while (GatewayFixture::get(fixture.settings.readinessAddress, "/sardinehollow/ready").status
+           == 200)
+        std::this_thread::sleep_for(10ms);
+    CHECK(fixture.call("POST", row.target, "id-1", "data", row.deadlineMilliseconds).status
+          == row.status);
+    CHECK(server.heads().size() == (row.status == 200 ? 1 : 0));
+}
+
 TEST_CASE("A leaving daemon is not ready and not returned to callers, but still serves requests")
 {
     RawServer server([](const std::string &head) {
         return Reply {GatewayFixture::completeResponse(head, "x")};
     });
     GatewayFixture fixture;
+    fixture.settings.stopGrace = std::chrono::seconds(60);
     fixture.putConfiguration(1, routes);
     fixture.putServer("one", server);
     fixture.start();
