Send nothing to a server for the time that its refusal's Retry-After names

Change: the server is passed over until the time has passed. If that holds for all servers of a service, a request is refused at once, with the time until the first of them takes requests again as Retry-After, 0.3 s at least. Test: "A server that refuses with Retry-After ..."; 6 of its 72 checks fail without the selection's part (the three rows with a time); the malformed ones pass either way.

--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -25,7 +25,7 @@
 // Unsent bytes to a slow peer above which reading from the other side pauses (backpressure).
 constexpr std::size_t maximumUnsentBytes = 256 * 1024;
 // Retry-After of refusals: about the service time of one request at the present deployments.
-constexpr core::Duration retryAfter = std::chrono::milliseconds(300);
+constexpr core::Duration minimumRetryAfter = std::chrono::milliseconds(300);
 // With less time left, another attempt is unlikely to succeed.
 constexpr core::Duration minimumAttemptTime = std::chrono::milliseconds(30);
 constexpr double percent = 100;
@@ -114,6 +114,7 @@
     , m_requestFields(services.protocol.readCallerRequest(m_request))
     , m_caller(sink.peerHost())
     , m_startedAt(services.loop.now())
+    , m_retryAfter(minimumRetryAfter)
 { }
 
 Exchange::~Exchange()
@@ -206,6 +207,7 @@
     const routing::Selection selection
             = m_services.routing.select(*m_route, m_service, m_objectHash, m_tried, now);
     m_selectionReason = selection.reason;
+    m_retryAfter = std::max(selection.retryAfter.value_or(minimumRetryAfter), minimumRetryAfter);
     if (m_tried.empty())
         m_selectionInputs = selection.inputs;
     if (!selection.server) {
@@ -320,6 +322,12 @@
                         .text("entry", m_server->server().isDraining ? "draining" : "ready")
                         .number("removed", m_server->isRemoved() ? 1 : 0));
     }
+    if (m_responseFields.retryAfter) {
+        m_server->onRetryAfter(*m_responseFields.retryAfter, m_services.loop.now());
+        m_services.log.writeRequest(
+                serverLine("server-paused").milliseconds("for", *m_responseFields.retryAfter),
+                m_services.loop.now());
+    }
     applyRateLimit();
 }
 
@@ -571,7 +579,7 @@
     HTTPResponse response(static_cast<HTTPResponse::HTTPStatus>(status));
     response.set("Content-Type", "application/problem+json");
     if (status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE) {
-        const double seconds = std::chrono::duration<double>(retryAfter).count();
+        const double seconds = std::chrono::duration<double>(m_retryAfter).count();
         response.set("Retry-After", Poco::NumberFormatter::format(seconds, 1));
     }
     m_sink.sendResponse(response, "{\"title\":\"" + std::string(toName(outcome)) + "\"}");
--- a/modules/sardinehollow_gateway/exchange/Exchange.h
+++ b/modules/sardinehollow_gateway/exchange/Exchange.h
@@ -80,6 +80,8 @@
     const std::string m_caller;
     const core::Instant m_startedAt;
     core::Instant m_deadline {0};
+    /** Retry-After of a refusal. */
+    core::Duration m_retryAfter;
     routing::RouteTablePtr m_table;
     const routing::Route *m_route = nullptr;
     std::string m_service;
--- a/modules/sardinehollow_gateway/exchange/WireProtocol.h
+++ b/modules/sardinehollow_gateway/exchange/WireProtocol.h
@@ -48,6 +48,8 @@
     bool isLeaving = false;
     /** Requests per second that the server accepts from all daemons together; empty: no limit. */
     std::optional<double> requestsPerSecond;
+    /** How long the server wants no further request from this daemon, with a 503 response. */
+    std::optional<core::Duration> retryAfter;
     /** Whether the response states a limit that cannot be parsed. */
     bool hasMalformedLimit = false;
     std::optional<Load> load;
--- a/modules/sardinehollow_routing/backends/BackendState.cpp
+++ b/modules/sardinehollow_routing/backends/BackendState.cpp
@@ -45,6 +45,11 @@
         setCold(server.coldFor, now);
 }
 
+void BackendState::onRetryAfter(core::Duration duration, core::Instant now)
+{
+    m_pausedUntil = std::max(m_pausedUntil, now + duration);
+}
+
 void BackendState::onRequestSent(core::Instant now)
 {
     ++m_inFlight;
--- a/modules/sardinehollow_routing/backends/BackendState.h
+++ b/modules/sardinehollow_routing/backends/BackendState.h
@@ -41,6 +41,11 @@
     /** Whether the server is about to stop, by its store entry or by a response. */
     bool isLeaving() const { return m_server.isDraining || m_hasAnnouncedLeave; }
 
+    /** Records that the server wants no further request from this daemon for the duration. */
+    void onRetryAfter(core::Duration duration, core::Instant now);
+    /** When the server takes requests of this daemon again; in the past unless it is paused. */
+    core::Instant pausedUntil() const { return m_pausedUntil; }
+
     void onRequestSent(core::Instant now);
     /** Records the end of a request, with or without a response. */
     void onRequestEnded();
@@ -111,6 +116,7 @@
     const std::uint64_t m_hash;
     bool m_isRemoved = false;
     bool m_hasAnnouncedLeave = false;
+    core::Instant m_pausedUntil {0};
     std::uint32_t m_inFlight = 0;
     /** Load at m_loadEstimatedAt; decays by this daemon's share of the server's throughput. */
     double m_load = 0;
--- a/modules/sardinehollow_routing/selection/Selection.h
+++ b/modules/sardinehollow_routing/selection/Selection.h
@@ -52,6 +52,8 @@
     BackendStatePtr server;
     SelectionReason reason = SelectionReason::NoServer;
     SelectionInputs inputs {};
+    /** Without a server, how long none will take requests of this daemon; empty if unknown. */
+    std::optional<core::Duration> retryAfter = std::nullopt;
 };
 
 } // namespace sardinehollow::routing
--- a/modules/sardinehollow_routing/selection/ServerSelector.cpp
+++ b/modules/sardinehollow_routing/selection/ServerSelector.cpp
@@ -40,11 +40,24 @@
     if (ranked.empty())
         return {nullptr, SelectionReason::NoServer, {}};
     updateLoadEstimates(route, ranked);
+    if (const std::optional<core::Duration> pause = pauseOfAll(ranked, now))
+        return {nullptr, SelectionReason::Overloaded, {}, pause};
     const UsableServers servers = filterUsable(ranked, now);
     return tried.empty() ? selectHome(route, service, objectHash, servers, now)
                          : selectAny(route, servers, now);
 }
 
+std::optional<core::Duration> ServerSelector::pauseOfAll(const std::vector<Candidate> &ranked,
+                                                         core::Instant now)
+{
+    const auto first = std::min_element(
+            ranked.begin(), ranked.end(), [](const Candidate &one, const Candidate &other) {
+                return one.server->pausedUntil() < other.server->pausedUntil();
+            });
+    const core::Duration pause = (*first).server->pausedUntil() - now;
+    return pause.count() > 0 ? std::optional(pause) : std::nullopt;
+}
+
 void ServerSelector::updateLoadEstimates(const Route &route,
                                          const std::vector<Candidate> &ranked) const
 {
@@ -121,6 +134,8 @@
     bool hasWarmFar = false;
     for (const Candidate &candidate : ranked) {
         BackendState &server = *candidate.server;
+        if (now < server.pausedUntil())
+            continue;
         if (!areAllAvoided && server.isAvoided(now))
             continue;
         // A cold server without a permit is skipped: its objects go to the next server.
