Let backend servers of the soak announce in their responses that they leave

The soak checked no promise about servers that leave. Servers now announce it in their responses, with the store's entry still ready, serve on for 3.5 to 5.5 s and start again; no request that a caller sent 2.5 s after a daemon passed the announcement on may reach them through that daemon, unless it was restarted or paused. The fault that withdraws a drain leaves such servers alone.

--- a/scripts/platform_deployment.py
+++ b/scripts/platform_deployment.py
@@ -81,6 +81,11 @@
         self.runs = []
         self.running = 0
         self.state = "ready"
+        # Whether responses announce that the server leaves; ends with its next start.
+        self.is_leaving = False
+        # Requests that arrived, and those that were answered, during that time: incarnation and id.
+        self.arrivals_while_leaving = []
+        self.leave_announcements = []
         self.lock = threading.Lock()
         self.connections = set()
         self.server = None
@@ -146,6 +151,8 @@
             self.respond(request, 421, b"", {"Not-Executed": "1"}, attempt)
             return
         with self.lock:
+            if self.is_leaving:
+                self.arrivals_while_leaving.append((self.started_at_ms, attempt))
             is_full = self.running >= 2 * self.slots
             if not is_full:
                 self.running += 1
@@ -171,6 +178,10 @@
         request.send_header("Attempt-Id", attempt)
         request.send_header("Server-Load", f"{min(self.running, self.slots)},"
                                            f"{max(0, self.running - self.slots)},{self.slots}")
+        if self.is_leaving:
+            request.send_header("Server-Leaving", "1")
+            with self.lock:
+                self.leave_announcements.append((self.started_at_ms, attempt))
         request.send_header("Content-Length", str(len(body)))
         request.end_headers()
         request.wfile.write(body)
@@ -192,6 +203,7 @@
 
     def restart(self):
         self.started_at_ms = int(time.time() * 1000)
+        self.is_leaving = False
         self.start()
 
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -103,6 +103,9 @@
     backend = rng.choice(system.backends)
 
     def set_state(state):
+        # A server that has announced its departure does not withdraw it.
+        if backend.is_leaving:
+            return
         backend.state = state
         backend.register()
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -24,6 +24,7 @@
 from platform_deployment import Backend, PlatformDeployment, reserve, route, send_request  # noqa: E402
 import faults  # noqa: E402
 from caller import NOT_RUN_STATUSES, Caller  # noqa: E402
+from leaving import LeaveInjector, check_leaving  # noqa: E402
 from proxy import Proxy  # noqa: E402
 
 REGIONS = {"east-a": "east", "east-b": "east", "west-a": "west"}
@@ -46,6 +47,8 @@
         self.next_version = 0
         self.disturbances = collections.defaultdict(list)
         self.exit_codes = []
+        # Times at which daemons were started again.
+        self.starts = collections.defaultdict(list)
         self.deployment.start_store()
         self.configure(2.0)
         self.backends, self.backend_proxies = [], []
@@ -105,6 +108,7 @@
             process.kill()
             process.wait()
         self.deployment.add_daemon(name, self.deployment.daemons[name]["failureDomain"])
+        self.starts[name].append(time.monotonic())
         self.end_disturbance(name)
 
     def restart_backend(self, backend):
@@ -130,9 +134,17 @@
             if name != "standin" and process.poll() is not None:
                 self.start_daemon(name, process)
 
-    def was_disturbed(self, address, begin, end):
-        name = next(name for name, daemon in self.deployment.daemons.items()
+    def name_of(self, address):
+        return next(name for name, daemon in self.deployment.daemons.items()
                     if daemon["caller"] == address)
+
+    def was_restarted(self, address, begin, end):
+        """Whether the daemon was started again or paused in the meantime."""
+        return (any(begin <= start <= end for start in self.starts[self.name_of(address)])
+                or self.was_disturbed(address, begin, end))
+
+    def was_disturbed(self, address, begin, end):
+        name = self.name_of(address)
         return any(start <= end and (stop is None or begin <= stop)
                    for start, stop in self.disturbances[name])
 
@@ -229,7 +241,11 @@
         callers = [Caller(number, seed, system) for number in range(CALLERS)]
         for caller in callers:
             caller.start()
+        leaves = LeaveInjector(system, seed)
+        leaves.start()
         history = inject_faults(system, seconds)
+        leaves.stop_requested.set()
+        leaves.join()
         system.end_all_faults()
         violations = check_recovery(system)
         for caller in callers:
@@ -240,6 +256,7 @@
         time.sleep(1)
         records = [record for caller in callers for record in caller.records]
         violations += check_requests(system, records)
+        violations += check_leaving(system, records)
         results = collections.Counter(str(record.result) for record in records)
         print(f"seed {seed}: {len(history)} faults, {len(records)} requests, "
               f"{dict(sorted(results.items()))}, {len(violations)} violations", flush=True)
