Keep what a server's responses stated when its store entry lapses and returns

Cause: the registry dropped a server's state with its entry. It remembered an announced departure only if that had come before the entry lapsed; one in a response that ended afterwards was recorded in the dropped state, and the entry that returned (leases lapse while the store is away, and servers write them again) put the server back into the selection. Class: a statement of a server that is forgotten with another source's record of the server. Change: the registry keeps the states of removed servers by id (4,096 at most, as the list of departures before) and takes them back for the same start; a new start gets a new state, as before. Requests in flight and connections hold the same state throughout, so that nothing can be recorded in a dropped one. Test: "A departure announced while the server's entry is absent ..."; its row "same start" failed before (selected), "new start" passed.

--- a/modules/sardinehollow_routing/backends/BackendRegistry.cpp
+++ b/modules/sardinehollow_routing/backends/BackendRegistry.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-// Bounds the memory for servers that have left; the entries of most never return.
-constexpr std::size_t maximumLeftServers = 4096;
+// Bounds the memory for removed servers; the entries of most never return.
+constexpr std::size_t maximumRemovedServers = 4096;
 
 // A server that restarts under the same id, at another address or time, is a new incarnation: the
 // state of the previous one does not apply to it.
@@ -33,13 +33,13 @@
         return;
     }
     remove(server.id);
-    const auto region = m_regions.find(server.failureDomain);
-    const auto state = std::make_shared<BackendState>(
-            server, region == m_regions.end() ? std::string() : region->second, m_daemonSeed);
-    state->update(server, now);
-    const auto left = m_leftServers.find(server.id);
-    if (left != m_leftServers.end() && left->second == server.startedAt)
-        state->onLeaveAnnounced();
+    BackendStatePtr state = takeRemoved(server, now);
+    if (!state) {
+        const auto region = m_regions.find(server.failureDomain);
+        state = std::make_shared<BackendState>(
+                server, region == m_regions.end() ? std::string() : region->second, m_daemonSeed);
+        state->update(server, now);
+    }
     m_servers[server.id] = state;
     m_services[server.service].push_back(state);
 }
@@ -51,19 +51,29 @@
         return;
     const BackendStatePtr state = found->second;
     state->setRemoved(true);
-    rememberLeave(*state);
     m_servers.erase(found);
     detach(state);
+    // Without a start time, a later entry under the id may be that of a new incarnation.
+    if (state->server().startedAt == 0)
+        return;
+    if (m_removedServers.size() >= maximumRemovedServers)
+        m_removedServers.erase(m_removedServers.begin());
+    m_removedServers[id] = state;
 }
 
-void BackendRegistry::rememberLeave(const BackendState &state)
+BackendStatePtr BackendRegistry::takeRemoved(const BackendServer &server, core::Instant now)
 {
-    // Without a start time, a later entry under the id may be that of a new incarnation.
-    if (!state.hasAnnouncedLeave() || state.server().startedAt == 0)
-        return;
-    if (m_leftServers.size() >= maximumLeftServers)
-        m_leftServers.erase(m_leftServers.begin());
-    m_leftServers[state.server().id] = state.server().startedAt;
+    const auto removed = m_removedServers.extract(server.id);
+    if (removed.empty() || !isSameStart(removed.mapped()->server(), server))
+        return nullptr;
+    BackendStatePtr state = removed.mapped();
+    const bool hasAnnouncedLeave = state->hasAnnouncedLeave();
+    state->update(server, now);
+    // An entry that lapsed and is written again does not withdraw the announcement.
+    if (hasAnnouncedLeave)
+        state->onLeaveAnnounced();
+    state->setRemoved(false);
+    return state;
 }
 
 void BackendRegistry::detach(const BackendStatePtr &state)
--- a/modules/sardinehollow_routing/backends/BackendRegistry.h
+++ b/modules/sardinehollow_routing/backends/BackendRegistry.h
@@ -39,16 +39,22 @@
 
 private:
     void detach(const BackendStatePtr &state);
-    /** Remembers whether the server has announced its departure, should its entry return. */
-    void rememberLeave(const BackendState &state);
+    /**
+     * Returns the state that a server had before its entry lapsed, updated by its new entry; null
+     * if the incarnation was not known before.
+     */
+    BackendStatePtr takeRemoved(const BackendServer &server, core::Instant now);
 
     const std::map<std::string, std::string> m_regions;
     const std::uint64_t m_daemonSeed;
     std::map<std::string, BackendStatePtr> m_servers;
     std::map<std::string, std::vector<BackendStatePtr>> m_services;
     std::set<std::string> m_evacuated;
-    /** Start times, by id, of removed servers that had announced their departure. */
-    std::map<std::string, std::int64_t> m_leftServers;
+    /**
+     * Removed servers by id: an entry may lapse while the store is away and return, and what the
+     * server's responses stated still holds then.
+     */
+    std::map<std::string, BackendStatePtr> m_removedServers;
 };
 
 } // namespace sardinehollow::routing
--- a/tests/routing/ServerSelectorTest.cpp
+++ b/tests/routing/ServerSelectorTest.cpp
@@ -268,3 +268,28 @@
         CHECK((world.choose(1).server != nullptr) == step.isSelected);
     }
 }
+
+// Guards against DRAIN: the response that announced the departure ended after the server's entry
+// had lapsed, and the entry that returned put the server back into the selection.
+TEST_CASE("A departure announced while the server's entry is absent holds when the entry returns")
+{
+    struct Row
+    {
+        const char *name;
+        std::int64_t startedAt;
+        bool isSelected;
+    };
+    const Row row = GENERATE(values<Row>({{"same start", 7, false}, {"new start", 8, true}}));
+    INFO(row.name);
+    RoutingWorld world;
+    routing::BackendServer server = RoutingWorld::server("one", "east-a");
+    server.startedAt = 7;
+    world.registry.put(server, world.now);
+    const routing::BackendStatePtr running = world.choose(1).server;
+    REQUIRE(running);
+    world.registry.remove("one");
+    running->onLeaveAnnounced();
+    server.startedAt = row.startedAt;
+    world.registry.put(server, world.now);
+    CHECK((world.choose(1).server != nullptr) == row.isSelected);
+}
