--- a/tests/routing/ServerSelectorTest.cpp
+++ b/tests/routing/ServerSelectorTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <functional>
+
 using namespace sardinehollow;
 using routing::SelectionReason;
 using tests::RoutingWorld;
@@ -293,3 +295,38 @@
     world.registry.put(server, world.now);
     CHECK((world.choose(1).server != nullptr) == row.isSelected);
 }
+
+// Guards against BUDGET and LIMIT: the pause and the request limit that a server stated in its
+// responses were forgotten when its entry lapsed and returned.
+TEST_CASE("A server's pause and request limit hold when its entry lapses and returns")
+{
+    struct Row
+    {
+        const char *name;
+        std::function<void(routing::BackendState &, core::Instant)> state;
+        std::int64_t startedAt;
+        bool isSelected;
+    };
+    const auto pause = [](routing::BackendState &server, core::Instant now) {
+        server.onRetryAfter(std::chrono::seconds(5), now);
+    };
+    const auto limit = [](routing::BackendState &server, core::Instant now) {
+        server.rateLimit().set(1);
+        server.rateLimit().take(now);
+    };
+    const Row row = GENERATE_COPY(values<Row>({{"pause, same start", pause, 7, false},
+                                               {"pause, new start", pause, 8, true},
+                                               {"limit, same start", limit, 7, false},
+                                               {"limit, new start", limit, 8, true}}));
+    INFO(row.name);
+    RoutingWorld world;
+    routing::BackendServer server = RoutingWorld::server("one", "east-a");
+    server.startedAt = 7;
+    world.registry.put(server, world.now);
+    row.state(*world.registry.all().at("one"), world.now);
+    REQUIRE_FALSE(world.choose(1).server);
+    world.registry.remove("one");
+    server.startedAt = row.startedAt;
+    world.registry.put(server, world.now);
+    CHECK((world.choose(1).server != nullptr) == row.isSelected);
+}
