Divide a server's request limit by what the regions lack, and let permits wait

Hypotheses: (1) five sixths of a limit go to daemons of the server's own region, so that a region without servers has no permits; (2) a permit that waits for a request longer than half of its interval is lost in part; (3) senders have too few requests. The log tells: gyeongnam's daemons got 2 to 8% of the far servers' limits (1), and in chungcheong 0.8 of the limits was used while 49 a second were refused (2). Cause: senders chosen in the server's region alone, and a bucket of one permit. Class: a bound that is divided without regard to who needs it. Change: RateLimitShares divides a limit among regions by their shares of daemons and slots (a region's surplus goes to those that lack servers) and has as many senders as the limit has requests a second, and one more. A sender may have one permit left over: with that number of senders the sum stays below one and a half times the limit in any few seconds even if all of them use it. Shares are computed when daemons, servers or the limit change, no longer at each request (231 limited servers times 68 daemons hashed a request before).

--- a/modules/sardinehollow_routing/backends/BackendRegistry.cpp
+++ b/modules/sardinehollow_routing/backends/BackendRegistry.cpp
@@ -27,6 +27,7 @@
 
 void BackendRegistry::put(const BackendServer &server, core::Instant now)
 {
+    ++m_changeCount;
     const auto found = m_servers.find(server.id);
     if (found != m_servers.end() && isSameStart(found->second->server(), server)) {
         found->second->update(server, now);
@@ -49,6 +50,7 @@
     const auto found = m_servers.find(id);
     if (found == m_servers.end())
         return;
+    ++m_changeCount;
     const BackendStatePtr state = found->second;
     state->setRemoved(true);
     m_servers.erase(found);
@@ -91,6 +93,7 @@
 
 void BackendRegistry::setEvacuated(std::set<std::string> failureDomains)
 {
+    ++m_changeCount;
     m_evacuated = std::move(failureDomains);
 }
 
--- a/modules/sardinehollow_routing/backends/BackendRegistry.h
+++ b/modules/sardinehollow_routing/backends/BackendRegistry.h
@@ -29,6 +29,9 @@
     void remove(const std::string &id);
     bool contains(const std::string &id) const { return m_servers.count(id) > 0; }
 
+    /** Number of changes of entries and evacuations made so far. */
+    std::uint64_t changeCount() const { return m_changeCount; }
+
     /** Servers of a service, including draining ones. */
     const std::vector<BackendStatePtr> &servers(const std::string &service) const;
     const std::map<std::string, BackendStatePtr> &all() const { return m_servers; }
@@ -50,6 +53,7 @@
     std::map<std::string, BackendStatePtr> m_servers;
     std::map<std::string, std::vector<BackendStatePtr>> m_services;
     std::set<std::string> m_evacuated;
+    std::uint64_t m_changeCount = 0;
     /**
      * Removed servers by id: an entry may lapse while the store is away and return, and what the
      * server's responses stated still holds then.
--- a/modules/sardinehollow_routing/backends/ServerRateLimit.cpp
+++ b/modules/sardinehollow_routing/backends/ServerRateLimit.cpp
@@ -22,6 +22,8 @@
 
 void ServerRateLimit::set(double requestsPerSecond)
 {
+    if (!m_isActive || requestsPerSecond != m_requestsPerSecond)
+        m_share.reset();
     m_isActive = true;
     m_requestsPerSecond = requestsPerSecond;
 }
@@ -47,13 +49,13 @@
 {
     if (!m_isActive)
         return;
-    // Catches up on a late request, but not so much that two follow each other at once.
-    m_nextPermitAt = std::max(m_nextPermitAt.value_or(now) + interval(), now + interval() / 2);
+    m_nextPermitAt = std::max(m_nextPermitAt.value_or(now) + interval(), now);
 }
 
 core::Duration ServerRateLimit::interval() const
 {
-    const double rate = std::max(m_requestsPerSecond, minimumRequestsPerSecond) * m_share;
+    const double rate
+            = std::max(m_requestsPerSecond, minimumRequestsPerSecond) * m_share.value_or(1);
     return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(1 / rate));
 }
 
--- a/modules/sardinehollow_routing/backends/ServerRateLimit.h
+++ b/modules/sardinehollow_routing/backends/ServerRateLimit.h
@@ -9,8 +9,8 @@
 
 /**
  * The rate of requests that a server accepts from all daemons together, and this daemon's permits
- * for its share of it. Permits come one at a time, evenly spread, and one that is not used within a
- * few seconds expires. Not safe for concurrent use.
+ * for its share of it. Permits come evenly spread; one may be left over when the next one comes,
+ * and if none is used for a few seconds, they expire. Not safe for concurrent use.
  */
 class ServerRateLimit
 {
@@ -28,6 +28,8 @@
 
     /** Sets this daemon's share of the limit; above 0, at most 1. */
     void setShare(double share) { m_share = share; }
+    /** Whether a share has been set for the present limit. */
+    bool hasShare() const { return m_share.has_value(); }
     /** Whether a request may be sent now; always while there is no limit. */
     bool hasPermit(core::Instant now);
     /** Takes the permit for a request that is sent, if there is a limit. */
@@ -42,7 +44,7 @@
     const std::uint64_t m_seed;
     bool m_isActive = false;
     double m_requestsPerSecond = 0;
-    double m_share = 1;
+    std::optional<double> m_share;
     /** Empty until the first use of the limit, when the share is known. */
     std::optional<core::Instant> m_nextPermitAt;
 };
--- a/modules/sardinehollow_routing/state/RoutingState.cpp
+++ b/modules/sardinehollow_routing/state/RoutingState.cpp
@@ -9,14 +9,11 @@
 
 namespace {
 
-// Number of daemons that may send to a server that limits its requests, per request per second that
-// it accepts. Each of them has a burst of one request, so that fewer daemons than permits per
-// second leave headroom for bursts that fall into the same second.
-constexpr double sendersPerRate = 0.5;
-constexpr std::size_t maximumSenderCount = 8;
-// Part of a server's request limit that all daemons share, so that each learns when the limit ends.
-// The rest is for a few daemons: the more of them send, the less even is the sum.
-constexpr double commonLimitShare = 1.0 / 6;
+// Number of daemons that may send to a cold server, per request per second that it accepts. Each of
+// them has a burst of one request, so that fewer daemons than permits per second leave headroom for
+// bursts that fall into the same second.
+constexpr double coldSendersPerRate = 0.5;
+constexpr std::size_t maximumColdSenders = 8;
 // Number of daemons in each region from which their shares tell how many requests to expect.
 constexpr std::size_t minimumRegionDaemons = 2;
 
@@ -97,27 +94,37 @@
     const ServicePolicy *policy = m_table ? m_table->service(service) : nullptr;
     const double coldRate = policy ? policy->coldRequestsPerSecond : 0;
     m_selector.setSenderCount(m_entries.countInRegion(m_region));
+    updateRateLimitShares(service);
     for (const BackendStatePtr &server : m_backends.servers(service)) {
-        if (server->rateLimit().isActive())
-            server->rateLimit().setShare(rateLimitShare(*server));
         if (coldRate <= 0 || !server->isCold(now))
             continue;
-        const double share = senderShare(*server, coldRate);
+        const double share = coldShare(*server, coldRate);
         server->coldPermits().setLimits(coldRate * share, share > 0 ? 1 : 0);
     }
 }
 
-double RoutingState::rateLimitShare(const BackendState &server) const
+void RoutingState::updateRateLimitShares(const std::string &service)
 {
-    const double senders = senderShare(server, server.rateLimit().requestsPerSecond());
-    const auto all = static_cast<double>(m_entries.peakDaemonCount());
-    return senders * (1 - commonLimitShare) + commonLimitShare / all;
+    const std::vector<BackendStatePtr> &servers = m_backends.servers(service);
+    const bool isLimited = std::any_of(servers.begin(), servers.end(), [](const auto &server) {
+        return server->rateLimit().isActive();
+    });
+    if (!isLimited)
+        return;
+    RateLimitShares &shares
+            = m_rateLimitShares.try_emplace(service, m_vmName, m_region).first->second;
+    const bool haveChanged = shares.update(m_entries, m_backends, service);
+    for (const BackendStatePtr &server : servers) {
+        ServerRateLimit &limit = server->rateLimit();
+        if (limit.isActive() && (haveChanged || !limit.hasShare()))
+            limit.setShare(shares.shareOf(*server));
+    }
 }
 
-double RoutingState::senderShare(const BackendState &server, double requestsPerSecond) const
+double RoutingState::coldShare(const BackendState &server, double requestsPerSecond) const
 {
     const auto maximumSenders = static_cast<std::size_t>(std::clamp(
-            requestsPerSecond * sendersPerRate, 1.0, static_cast<double>(maximumSenderCount)));
+            requestsPerSecond * coldSendersPerRate, 1.0, static_cast<double>(maximumColdSenders)));
     const std::uint64_t own = core::combineHashes(server.hash(), core::stableHash(m_vmName));
     std::size_t eligible = 0;
     std::size_t higherRanked = 0;
--- a/modules/sardinehollow_routing/state/RoutingState.h
+++ b/modules/sardinehollow_routing/state/RoutingState.h
@@ -2,6 +2,7 @@
 
 #include "sardinehollow_core/random/RandomSource.h"
 #include "sardinehollow_routing/backends/BackendRegistry.h"
+#include "sardinehollow_routing/budgets/RateLimitShares.h"
 #include "sardinehollow_routing/budgets/RetryBudget.h"
 #include "sardinehollow_routing/configuration/RouteTable.h"
 #include "sardinehollow_routing/entries/EntryDirectory.h"
@@ -48,14 +49,14 @@
 
 private:
     /**
-     * Returns this daemon's share of the requests per second that a server accepts; 0 to 1. Only a
-     * few daemons of the server's region, chosen by rendezvous hashing, send to it.
+     * Returns this daemon's share of the requests per second that a cold server accepts; 0 to 1.
+     * Only a few daemons of the server's region, chosen by rendezvous hashing, send to it.
      */
-    double senderShare(const BackendState &server, double requestsPerSecond) const;
+    double coldShare(const BackendState &server, double requestsPerSecond) const;
     /** Updates the shares of the entry daemons that are in this daemon's region and domain. */
     void updateDemandShares();
-    /** Returns this daemon's share of the request limit that a server states; above 0. */
-    double rateLimitShare(const BackendState &server) const;
+    /** Updates this daemon's shares of the request limits of a service's servers. */
+    void updateRateLimitShares(const std::string &service);
     /** Updates the sender count, and this daemon's shares of what a service's servers accept. */
     void updateSenderCounts(const std::string &service, core::Instant now);
 
@@ -70,6 +71,8 @@
     EntryDirectory m_entries;
     ServerSelector m_selector;
     RetryBudget m_retries;
+    /** By service. */
+    std::map<std::string, RateLimitShares> m_rateLimitShares;
     RequestQuarantine m_quarantine;
 };
 
--- a/tests/routing/ServerRateLimitTest.cpp
+++ b/tests/routing/ServerRateLimitTest.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <deque>
 
 using namespace sardinehollow;
@@ -23,11 +24,20 @@
     return "domain-" + std::to_string(daemon % regions);
 }
 
-// The daemons of a deployment, which all see each other, a server with a limit and one without.
+// A server of one of the regions; those whose id begins with "limited" state a limit.
+struct ServerSite
+{
+    std::string id;
+    std::size_t region;
+};
+
+const std::vector<ServerSite> limitedAndFree = {{"limited", 0}, {"free", 0}};
+
+// The daemons of a deployment, which all see each other, and the servers of a service.
 class Fleet
 {
 public:
-    explicit Fleet(std::size_t daemons)
+    explicit Fleet(std::size_t daemons, const std::vector<ServerSite> &servers = limitedAndFree)
         : m_random(7)
     {
         routing::RoutingSettings settings;
@@ -38,12 +48,12 @@
             settings.selection.failureDomain = domainOf(index);
             settings.selection.region = settings.regions[domainOf(index)];
             m_daemons.push_back(std::make_unique<routing::RoutingState>(settings, m_random));
-            for (const char *id : {"limited", "free"}) {
+            for (const ServerSite &site : servers) {
                 routing::BackendServer server;
-                server.id = id;
+                server.id = site.id;
                 server.service = "look-ups";
                 server.address = "127.0.0.1:1";
-                server.failureDomain = domainOf(0);
+                server.failureDomain = domainOf(site.region);
                 server.slots = 1000;
                 m_daemons.back()->backends().put(server, now);
             }
@@ -57,7 +67,7 @@
         m_route.hasAffinity = true;
     }
 
-    /** Sends requests for random objects; returns how many reach the server with the limit. */
+    /** Sends requests for random objects; returns how many reach servers with a limit. */
     int run(core::Duration time, double requestsPerSecond, std::optional<double> limit)
     {
         int reached = 0;
@@ -69,22 +79,34 @@
         return reached;
     }
 
-    /** Largest number of requests within a window that reached the server since a time. */
+    /** Largest number of requests within a window that reached one server since a time. */
     std::size_t mostInWindow(core::Instant since) const
     {
         std::size_t most = 0;
-        std::deque<core::Instant> recent;
-        for (const core::Instant at : m_arrivals) {
-            if (at < since)
-                continue;
-            recent.push_back(at);
-            while (recent.front() <= at - window)
-                recent.pop_front();
-            most = std::max(most, recent.size());
+        for (const auto &[server, arrivals] : m_arrivals) {
+            std::deque<core::Instant> recent;
+            for (const core::Instant at : arrivals) {
+                if (at < since)
+                    continue;
+                recent.push_back(at);
+                while (recent.front() <= at - window)
+                    recent.pop_front();
+                most = std::max(most, recent.size());
+            }
         }
         return most;
     }
 
+    /** Requests of a region's callers since the last call of resetCounts(). */
+    int offered(std::size_t region) const { return m_offered[region]; }
+    /** Those of them that a server took. */
+    int served(std::size_t region) const { return m_served[region]; }
+    void resetCounts()
+    {
+        m_offered = {};
+        m_served = {};
+    }
+
     core::Instant now = 100s;
 
 private:
@@ -95,12 +117,15 @@
         routing::RoutingState &daemon = *m_daemons[drawn];
         const auto object = static_cast<std::uint64_t>(m_random.nextUnit() * 1e15);
         const routing::Selection selection = daemon.select(m_route, "look-ups", object, {}, now);
+        ++m_offered[drawn % regions];
         if (!selection.server)
             return false;
+        ++m_served[drawn % regions];
         daemon.takePermits(*selection.server, now);
-        if (selection.server->server().id != "limited")
+        const std::string &id = selection.server->server().id;
+        if (id.find("limited") != 0)
             return false;
-        m_arrivals.push_back(now);
+        m_arrivals[id].push_back(now);
         if (limit)
             selection.server->rateLimit().set(*limit);
         else
@@ -112,7 +137,9 @@
     std::vector<std::unique_ptr<routing::RoutingState>> m_daemons;
     routing::Route m_route;
     double m_due = 0;
-    std::vector<core::Instant> m_arrivals;
+    std::map<std::string, std::vector<core::Instant>> m_arrivals;
+    std::array<int, regions> m_offered {};
+    std::array<int, regions> m_served {};
 };
 
 } // namespace
@@ -169,3 +196,43 @@
     CHECK(reached > 0);
     CHECK(reached <= 20);
 }
+
+// Guards against a use of limits that refuses callers: a region with few servers of its own had
+// hardly any permits for the servers of other regions, and permits were lost between requests.
+TEST_CASE("Limits that exceed the demand leave few requests of any region without a server")
+{
+    struct Row
+    {
+        const char *name;
+        std::size_t daemons;
+        std::array<std::size_t, regions> servers;
+        double limit;
+    };
+    const Row row = GENERATE(values<Row>({
+            {"equal regions", 12, {8, 8, 8}, 10},
+            {"a region with few servers", 12, {10, 10, 2}, 10},
+            {"a region without servers", 12, {12, 12, 0}, 10},
+            {"large deployment", 69, {100, 100, 20}, 1.4},
+    }));
+    INFO(row.name);
+    std::vector<ServerSite> servers;
+    for (std::size_t region = 0; region < regions; ++region) {
+        for (std::size_t index = 0; index < row.servers[region]; ++index)
+            servers.push_back(
+                    {"limited-" + std::to_string(region) + "-" + std::to_string(index), region});
+    }
+    Fleet fleet(row.daemons, servers);
+    constexpr double demandShare = 0.7;
+    const double demand = demandShare * row.limit * static_cast<double>(servers.size());
+    // Each daemon has to meet each server once to learn its limit.
+    fleet.run(60s, demand, row.limit);
+    fleet.resetCounts();
+    const core::Instant since = fleet.now;
+    fleet.run(40s, demand, row.limit);
+    for (std::size_t region = 0; region < regions; ++region) {
+        INFO("region " << region);
+        CHECK(fleet.served(region) >= 0.9 * fleet.offered(region));
+    }
+    const double allowed = row.limit * std::chrono::duration<double>(window).count();
+    CHECK(static_cast<double>(fleet.mostInWindow(since)) <= allowed * tolerance + slack);
+}
