Let backend servers of the soak refuse with Retry-After for a while

Servers of the soak now also refuse all requests for 1 to 4 s and name the time that is left; of the requests sent half a second after a daemon read such a refusal, two may reach the server through that daemon until then, unless it was restarted or paused. A request that may not be repeated shows that the refusal was read, since it goes to another server only then. The check of leaving servers is the same; both share StatementInjector and check_statements (statements.py, before leaving.py).

--- a/scripts/platform_deployment.py
+++ b/scripts/platform_deployment.py
@@ -12,6 +12,7 @@
 import tempfile
 import threading
 import time
+import typing
 import urllib.error
 
 from deployment import ADDRESS, RESERVED_PORTS, http_request as call
@@ -63,6 +64,16 @@
         return status, json.loads(text) if text else {}
 
 
+class Statement(typing.NamedTuple):
+    """What a backend server stated in its response to a request."""
+
+    # Start time of the incarnation.
+    born: int
+    attempt: str
+    # End of the pause that it asked for; None if it announced that it leaves.
+    until: float | None
+
+
 class Backend:
     """A simulated backend server that registers itself and records the requests that it runs."""
 
@@ -83,9 +94,11 @@
         self.state = "ready"
         # Whether responses announce that the server leaves; ends with its next start.
         self.is_leaving = False
-        # Requests that arrived, and those that were answered, during that time: incarnation and id.
-        self.arrivals_while_leaving = []
-        self.leave_announcements = []
+        # Until when all requests are refused, with that time as Retry-After.
+        self.paused_until = 0.0
+        # Requests that arrived during such times, and the responses that stated it.
+        self.late_arrivals = []
+        self.statements = []
         self.lock = threading.Lock()
         self.connections = set()
         self.server = None
@@ -150,9 +163,16 @@
         if request.headers.get("Target-Instance", self.name) != self.name:
             self.respond(request, 421, b"", {"Not-Executed": "1"}, attempt)
             return
+        stated = self.statement(attempt)
+        if stated:
+            with self.lock:
+                self.late_arrivals.append(stated)
+        if stated and stated.until is not None:
+            pause = max(0.0, stated.until - time.monotonic())
+            self.respond(request, 503, b"", {"Not-Executed": "1", "Retry-After": f"{pause:.3f}"},
+                         attempt)
+            return
         with self.lock:
-            if self.is_leaving:
-                self.arrivals_while_leaving.append((self.started_at_ms, attempt))
             is_full = self.running >= 2 * self.slots
             if not is_full:
                 self.running += 1
@@ -171,6 +191,13 @@
     def simulate_work(self, request):
         time.sleep(self.work_seconds)
 
+    def statement(self, attempt):
+        """Returns what a response to the request states; None if it states nothing."""
+        until = self.paused_until if time.monotonic() < self.paused_until else None
+        if until is None and not self.is_leaving:
+            return None
+        return Statement(self.started_at_ms, attempt, until)
+
     def respond(self, request, status, body, headers, attempt):
         request.send_response(status)
         for name, value in headers.items():
@@ -178,10 +205,12 @@
         request.send_header("Attempt-Id", attempt)
         request.send_header("Server-Load", f"{min(self.running, self.slots)},"
                                            f"{max(0, self.running - self.slots)},{self.slots}")
+        stated = self.statement(attempt)
+        if stated:
+            with self.lock:
+                self.statements.append(stated)
         if self.is_leaving:
             request.send_header("Server-Leaving", "1")
-            with self.lock:
-                self.leave_announcements.append((self.started_at_ms, attempt))
         request.send_header("Content-Length", str(len(body)))
         request.end_headers()
         request.wfile.write(body)
@@ -204,6 +233,7 @@
     def restart(self):
         self.started_at_ms = int(time.time() * 1000)
         self.is_leaving = False
+        self.paused_until = 0.0
         self.start()
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -24,8 +24,8 @@
 from platform_deployment import Backend, PlatformDeployment, reserve, route, send_request  # noqa: E402
 import faults  # noqa: E402
 from caller import NOT_RUN_STATUSES, Caller  # noqa: E402
-from leaving import LeaveInjector, check_leaving  # noqa: E402
 from proxy import Proxy  # noqa: E402
+from statements import StatementInjector, check_statements  # noqa: E402
 
 REGIONS = {"east-a": "east", "east-b": "east", "west-a": "west"}
 CALLERS = 8
@@ -241,11 +241,11 @@
         callers = [Caller(number, seed, system) for number in range(CALLERS)]
         for caller in callers:
             caller.start()
-        leaves = LeaveInjector(system, seed)
-        leaves.start()
+        statements = StatementInjector(system, seed)
+        statements.start()
         history = inject_faults(system, seconds)
-        leaves.stop_requested.set()
-        leaves.join()
+        statements.stop_requested.set()
+        statements.join()
         system.end_all_faults()
         violations = check_recovery(system)
         for caller in callers:
@@ -256,7 +256,7 @@
         time.sleep(1)
         records = [record for caller in callers for record in caller.records]
         violations += check_requests(system, records)
-        violations += check_leaving(system, records)
+        violations += check_statements(system, records)
         results = collections.Counter(str(record.result) for record in records)
         print(f"seed {seed}: {len(history)} faults, {len(records)} requests, "
               f"{dict(sorted(results.items()))}, {len(violations)} violations", flush=True)
