Do not pass on a status that says not run without the server's word

The daemon passed on a server's own response with such a status unchanged, though only Not-Executed states that the request did not run; callers then repeat requests that may run only once. Class: a status taken for a statement. Change: such a response counts as an invalid one: a request that may be repeated is retried, another one ends with 502, which promises nothing. 421 says by itself that nothing ran, as before. Test: "A response whose status alone says that the request did not run ..."; 7 of 16 checks failed before (five rows: 503, 429 and 408, signed or not, passed on).

--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -19,8 +19,8 @@
 // Responses up to this size are buffered before they are delivered, so that a truncated one leads
 // to a retry or an error response, not to a truncated response for the caller.
 constexpr std::size_t maximumBufferedResponseBytes = 512 * 1024;
-// A response that is not delivered, because the server did not run the request or did not sign it,
-// is read up to this size.
+// A response that is not delivered, because the server did not run the request or did not sign it
+// or its status contradicts it, is read up to this size.
 constexpr std::size_t maximumUndeliverableBytes = 64 * 1024;
 // Unsent bytes to a slow peer above which reading from the other side pauses (backpressure).
 constexpr std::size_t maximumUnsentBytes = 256 * 1024;
@@ -366,7 +366,8 @@
         return;
     }
     m_responseBody += bytes;
-    const bool isDeliverable = m_responseFields.isSigned && !m_responseFields.didNotRun;
+    const bool isDeliverable = m_responseFields.isSigned && !m_responseFields.didNotRun
+            && !m_responseFields.hasNotRunStatus;
     if (isDeliverable && m_responseBody.size() > maximumBufferedResponseBytes) {
         startStreaming();
     } else if (!isDeliverable && m_responseBody.size() > maximumUndeliverableBytes) {
@@ -415,6 +416,12 @@
         endAttempt(RetryReason::NotRun, "the server shed the request");
         return;
     }
+    if (m_responseFields.hasNotRunStatus) {
+        endAttempt(
+                RetryReason::InvalidResponse,
+                "the status says that the request did not run, but the server does not state it");
+        return;
+    }
     const bool isSuccess
             = status >= HTTPResponse::HTTP_OK && status < HTTPResponse::HTTP_MULTIPLE_CHOICES;
     if (isSuccess && (!m_responseFields.isSigned || m_responseFields.requestId.empty())) {
--- a/modules/sardinehollow_gateway/exchange/WireProtocol.h
+++ b/modules/sardinehollow_gateway/exchange/WireProtocol.h
@@ -42,6 +42,8 @@
     bool isSigned = false;
     /** Whether the server states that it did not run the request. */
     bool didNotRun = false;
+    /** Whether callers take the status for a statement that the request did not run. */
+    bool hasNotRunStatus = false;
     /** Whether another server than the addressed one responded. */
     bool isMisdirected = false;
     /** Whether the server states that it is about to stop. */
--- a/tests/adapter/GatewayContractTest.cpp
+++ b/tests/adapter/GatewayContractTest.cpp
@@ -308,6 +308,44 @@
     CHECK(response.body == "ran");
 }
 
+// Guards against REFUSED: the status of a server's response tells the caller that the request did
+// not run, though the server does not state it and may have run it.
+TEST_CASE("A response whose status alone says that the request did not run is not passed on")
+{
+    struct Row
+    {
+        const char *status;
+        const char *fields;
+        const char *method;
+        int expected;
+    };
+    const Row row = GENERATE(values<Row>({
+            {"503 Busy", "", "POST", 502},
+            {"503 Busy", "Server-Seal: s\r\n", "POST", 502},
+            {"429 Busy", "", "POST", 502},
+            {"429 Busy", "Server-Seal: s\r\n", "GET", 502},
+            {"408 Late", "", "POST", 502},
+            {"503 Busy", "Not-Executed: 1\r\n", "POST", 503},
+            {"429 Busy", "Not-Executed: 1\r\n", "POST", 503},
+            {"500 Error", "Server-Seal: s\r\n", "POST", 500},
+    }));
+    INFO(row.method << " " << row.status << " " << row.fields);
+    RawServer server([&row](const std::string &head) {
+        return Reply {std::string("HTTP/1.1 ") + row.status
+                      + "\r\nAttempt-Id: " + GatewayFixture::headerValue(head, "Attempt-Id")
+                      + "\r\n" + row.fields + "Content-Length: 0\r\n\r\n"};
+    });
+    GatewayFixture fixture;
+    fixture.putConfiguration(1, routes);
+    fixture.putServer("one", server);
+    fixture.start();
+    fixture.waitForServers();
+    const std::string path = std::string(row.method) == "POST" ? "/unsafe/x" : "/safe/x";
+    const auto response = fixture.call(row.method, path, "id-1", "data");
+    CHECK(response.status == row.expected);
+    CHECK(response.head.has("Server-Seal") == (row.expected == 500));
+}
+
 TEST_CASE("A connection with surplus bytes after the response is not reused")
 {
     RawServer server([](const std::string &head) {
