Tell callers when the first server takes a request again, and say so in the log

Test: "A request that no server takes yet is refused at once ..."; on the code before, with its reason Overloaded, the check of the time failed.

--- a/modules/sardinehollow_routing/backends/BackendState.h
+++ b/modules/sardinehollow_routing/backends/BackendState.h
@@ -5,6 +5,7 @@
 #include "sardinehollow_routing/backends/BackendServer.h"
 #include "sardinehollow_routing/backends/ServerRateLimit.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -43,8 +44,14 @@
 
     /** Records that the server wants no further request from this daemon for the duration. */
     void onRetryAfter(core::Duration duration, core::Instant now);
-    /** When the server takes requests of this daemon again; in the past unless it is paused. */
-    core::Instant pausedUntil() const { return m_pausedUntil; }
+    /**
+     * When the server takes the next request of this daemon, by its pause and its request limit;
+     * not after now if it does at once.
+     */
+    core::Instant takesRequestsAt(core::Instant now)
+    {
+        return std::max(m_pausedUntil, m_rateLimit.permitAt(now));
+    }
 
     void onRequestSent(core::Instant now);
     /** Records the end of a request, with or without a response. */
--- a/modules/sardinehollow_routing/backends/ServerRateLimit.cpp
+++ b/modules/sardinehollow_routing/backends/ServerRateLimit.cpp
@@ -34,15 +34,15 @@
     m_nextPermitAt.reset();
 }
 
-bool ServerRateLimit::hasPermit(core::Instant now)
+core::Instant ServerRateLimit::permitAt(core::Instant now)
 {
     if (!m_isActive)
-        return true;
+        return now;
     if (!m_nextPermitAt || now - *m_nextPermitAt > permitLifetime)
         m_nextPermitAt = spreadTime(now);
     // The limit or the share may have grown since the time was set.
     m_nextPermitAt = std::min(*m_nextPermitAt, now + interval());
-    return now >= *m_nextPermitAt;
+    return *m_nextPermitAt;
 }
 
 void ServerRateLimit::take(core::Instant now)
--- a/modules/sardinehollow_routing/backends/ServerRateLimit.h
+++ b/modules/sardinehollow_routing/backends/ServerRateLimit.h
@@ -30,8 +30,8 @@
     void setShare(double share) { m_share = share; }
     /** Whether a share has been set for the present limit. */
     bool hasShare() const { return m_share.has_value(); }
-    /** Whether a request may be sent now; always while there is no limit. */
-    bool hasPermit(core::Instant now);
+    /** When a request may be sent; at once while there is no limit. */
+    core::Instant permitAt(core::Instant now);
     /** Takes the permit for a request that is sent, if there is a limit. */
     void take(core::Instant now);
 
--- a/modules/sardinehollow_routing/selection/Selection.cpp
+++ b/modules/sardinehollow_routing/selection/Selection.cpp
@@ -13,6 +13,7 @@
         std::pair {SelectionReason::NoServer, std::string_view("no-server")},
         std::pair {SelectionReason::Overloaded, std::string_view("overloaded")},
         std::pair {SelectionReason::MoveLimited, std::string_view("move-limited")},
+        std::pair {SelectionReason::NoPermit, std::string_view("no-permit")},
 }};
 
 } // namespace
--- a/modules/sardinehollow_routing/selection/Selection.h
+++ b/modules/sardinehollow_routing/selection/Selection.h
@@ -21,6 +21,8 @@
     Overloaded,
     /** The region is at capacity, and the spill ramp admits no more requests to other regions. */
     MoveLimited,
+    /** All eligible servers have asked for a pause or a lower rate of requests. */
+    NoPermit,
 };
 
 std::string_view toName(SelectionReason reason);
--- a/modules/sardinehollow_routing/selection/ServerSelector.cpp
+++ b/modules/sardinehollow_routing/selection/ServerSelector.cpp
@@ -40,22 +40,19 @@
     if (ranked.empty())
         return {nullptr, SelectionReason::NoServer, {}};
     updateLoadEstimates(route, ranked);
-    if (const std::optional<core::Duration> pause = pauseOfAll(ranked, now))
-        return {nullptr, SelectionReason::Overloaded, {}, pause};
+    if (const core::Duration wait = shortestWait(ranked, now); wait.count() > 0)
+        return {nullptr, SelectionReason::NoPermit, {}, wait};
     const UsableServers servers = filterUsable(ranked, now);
     return tried.empty() ? selectHome(route, service, objectHash, servers, now)
                          : selectAny(route, servers, now);
 }
 
-std::optional<core::Duration> ServerSelector::pauseOfAll(const std::vector<Candidate> &ranked,
-                                                         core::Instant now)
+core::Duration ServerSelector::shortestWait(const std::vector<Candidate> &ranked, core::Instant now)
 {
-    const auto first = std::min_element(
-            ranked.begin(), ranked.end(), [](const Candidate &one, const Candidate &other) {
-                return one.server->pausedUntil() < other.server->pausedUntil();
-            });
-    const core::Duration pause = (*first).server->pausedUntil() - now;
-    return pause.count() > 0 ? std::optional(pause) : std::nullopt;
+    core::Instant first = core::Instant::max();
+    for (const Candidate &candidate : ranked)
+        first = std::min(first, candidate.server->takesRequestsAt(now));
+    return first - now;
 }
 
 void ServerSelector::updateLoadEstimates(const Route &route,
@@ -134,16 +131,13 @@
     bool hasWarmFar = false;
     for (const Candidate &candidate : ranked) {
         BackendState &server = *candidate.server;
-        if (now < server.pausedUntil())
+        if (now < server.takesRequestsAt(now))
             continue;
         if (!areAllAvoided && server.isAvoided(now))
             continue;
         // A cold server without a permit is skipped: its objects go to the next server.
         if (server.isCold(now) && !server.coldPermits().hasPermit(now))
             continue;
-        // So is one whose request limit leaves this daemon no permit now.
-        if (!server.rateLimit().hasPermit(now))
-            continue;
         servers.preferred.push_back(candidate);
         if (!server.isCold(now))
             (candidate.isNear ? hasWarmNear : hasWarmFar) = true;
--- a/modules/sardinehollow_routing/selection/ServerSelector.h
+++ b/modules/sardinehollow_routing/selection/ServerSelector.h
@@ -75,13 +75,15 @@
     std::vector<Candidate> rankCandidates(const Route &route, const std::string &service,
                                           std::uint64_t objectHash,
                                           const std::set<std::string> &tried) const;
-    /** Returns how long no server takes requests of this daemon; empty if one does. */
-    static std::optional<core::Duration> pauseOfAll(const std::vector<Candidate> &ranked,
-                                                    core::Instant now);
+    /**
+     * Returns how long no server takes a request of this daemon, by their pauses and request
+     * limits; not above 0 if one does.
+     */
+    static core::Duration shortestWait(const std::vector<Candidate> &ranked, core::Instant now);
     bool isEligible(const Route &route, const BackendState &server) const;
     /**
-     * Excludes paused servers and those without a permit, cold ones and those with a request limit,
-     * and avoided servers unless all servers are avoided.
+     * Excludes servers that take no request of this daemon now, by their pauses and request limits
+     * or because they are cold, and avoided servers unless all servers are avoided.
      */
     UsableServers filterUsable(const std::vector<Candidate> &ranked, core::Instant now) const;
     Selection selectHome(const Route &route, const std::string &service, std::uint64_t objectHash,
--- a/tests/routing/ServerSelectorTest.cpp
+++ b/tests/routing/ServerSelectorTest.cpp
@@ -330,3 +330,25 @@
     world.registry.put(server, world.now);
     CHECK((world.choose(1).server != nullptr) == row.isSelected);
 }
+
+// Guards against refusals that leave callers without the time to come back, and against waiting for
+// a permit, while servers have asked for pauses and lower rates.
+TEST_CASE("A request that no server takes yet is refused at once with the time of the first that "
+          "does")
+{
+    RoutingWorld world;
+    routing::BackendState &limited = world.add("limited", "east-a");
+    limited.rateLimit().set(0.5);
+    limited.rateLimit().take(world.now);
+    world.add("paused", "west-a").onRetryAfter(std::chrono::seconds(5), world.now);
+    const routing::Selection refused = world.choose(object);
+    CHECK(refused.reason == SelectionReason::NoPermit);
+    CHECK(refused.retryAfter == std::chrono::seconds(2));
+    world.now += std::chrono::seconds(2);
+    CHECK(serverOf(world.choose(object)) == "limited");
+    limited.rateLimit().take(world.now);
+    world.now += std::chrono::milliseconds(1900);
+    CHECK_FALSE(world.choose(object).server);
+    world.add("free", "west-b");
+    CHECK(serverOf(world.choose(object)) == "free");
+}
