--- a/modules/sardinehollow_routing/state/RoutingState.cpp
+++ b/modules/sardinehollow_routing/state/RoutingState.cpp
@@ -98,7 +98,7 @@
     for (const BackendStatePtr &server : m_backends.servers(service)) {
         if (coldRate <= 0 || !server->isCold(now))
             continue;
-        const double share = coldShare(*server, coldRate);
+        const double share = coldPermitShare(*server, coldRate);
         server->coldPermits().setLimits(coldRate * share, share > 0 ? 1 : 0);
     }
 }
@@ -121,10 +121,10 @@
     }
 }
 
-double RoutingState::coldShare(const BackendState &server, double requestsPerSecond) const
+double RoutingState::coldPermitShare(const BackendState &server, double coldRate) const
 {
     const auto maximumSenders = static_cast<std::size_t>(std::clamp(
-            requestsPerSecond * coldSendersPerRate, 1.0, static_cast<double>(maximumColdSenders)));
+            coldRate * coldSendersPerRate, 1.0, static_cast<double>(maximumColdSenders)));
     const std::uint64_t own = core::combineHashes(server.hash(), core::stableHash(m_vmName));
     std::size_t eligible = 0;
     std::size_t higherRanked = 0;
--- a/modules/sardinehollow_routing/state/RoutingState.h
+++ b/modules/sardinehollow_routing/state/RoutingState.h
@@ -49,10 +49,10 @@
 
 private:
     /**
-     * Returns this daemon's share of the requests per second that a cold server accepts; 0 to 1.
-     * Only a few daemons of the server's region, chosen by rendezvous hashing, send to it.
+     * Returns this daemon's share of the requests that a cold server accepts; 0 to 1. Only a few
+     * daemons of the server's region, chosen by rendezvous hashing, send to it.
      */
-    double coldShare(const BackendState &server, double requestsPerSecond) const;
+    double coldPermitShare(const BackendState &server, double coldRate) const;
     /** Updates the shares of the entry daemons that are in this daemon's region and domain. */
     void updateDemandShares();
     /** Updates this daemon's shares of the request limits of a service's servers. */
--- a/tests/adapter/PlatformSchemaTest.cpp
+++ b/tests/adapter/PlatformSchemaTest.cpp
@@ -111,3 +111,26 @@
     CHECK(load->slots == 8);
     CHECK(load->slowdown == 1.5);
 }
+
+TEST_CASE("A request limit is read as a number that can be counted, or counted as malformed")
+{
+    // Guards against limits that no integer can hold, which made the number of senders undefined.
+    struct Row
+    {
+        const char *text;
+        std::optional<double> limit;
+    };
+    const Row row = GENERATE(values<Row>({{"9.5", 9.5},
+                                          {"0", 0},
+                                          {"1e300", 1e6},
+                                          {"", std::nullopt},
+                                          {"many", std::nullopt},
+                                          {"-1", std::nullopt},
+                                          {"inf", std::nullopt}}));
+    INFO(row.text);
+    Poco::Net::HTTPResponse response;
+    response.set("Server-Limit", row.text);
+    const auto fields = PlatformProtocol().readBackendResponse(response);
+    CHECK(fields.requestsPerSecond == row.limit);
+    CHECK(fields.hasMalformedLimit == !row.limit);
+}
