--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -19,8 +19,8 @@
 // Responses up to this size are buffered before they are delivered, so that a truncated one leads
 // to a retry or an error response, not to a truncated response for the caller.
 constexpr std::size_t maximumBufferedResponseBytes = 512 * 1024;
-// A response that is not delivered, because the server did not run the request or did not sign it
-// or its status contradicts it, is read up to this size.
+// A response that is not delivered is read up to this size: the server did not run the request or
+// did not sign the response, or callers would take the status for a statement that it did not run.
 constexpr std::size_t maximumUndeliverableBytes = 64 * 1024;
 // Unsent bytes to a slow peer above which reading from the other side pauses (backpressure).
 constexpr std::size_t maximumUnsentBytes = 256 * 1024;
--- a/modules/sardinehollow_routing/budgets/RateLimitShares.cpp
+++ b/modules/sardinehollow_routing/budgets/RateLimitShares.cpp
@@ -76,8 +76,8 @@
 
 double RateLimitShares::senderShare(const BackendState &server) const
 {
-    // Each sender may send two requests at once. With no more senders than this, they stay below
-    // one and a half times the limit in any few seconds, even if all of them do so.
+    // Each sender may send two requests at once. With no more senders than this, their sum stays
+    // near the limit over a few seconds even if all of them do.
     const auto senders = static_cast<std::size_t>(server.rateLimit().requestsPerSecond()) + 1;
     const std::size_t inRegion = sendersInRegion(server, senders);
     const std::uint64_t own = core::combineHashes(server.hash(), m_hash);
