--- a/modules/sardinehollow_gateway/application/GatewayApplication.cpp
+++ b/modules/sardinehollow_gateway/application/GatewayApplication.cpp
@@ -14,6 +14,8 @@
 
 // Interval for checking signals, due removals, idle connections and crash reports.
 constexpr core::Duration tickInterval = std::chrono::milliseconds(100);
+// Delay of a tick above which the event loop is reported as late.
+constexpr core::Duration reportedLoopDelay = std::chrono::milliseconds(250);
 // Lease time of the daemon's entry: a crashed daemon leaves the directory after this time, and two
 // renewals may be lost.
 constexpr std::chrono::seconds entryLifetime {3};
@@ -128,6 +130,7 @@
 
 void GatewayApplication::onTick()
 {
+    reportLoopDelay();
     checkSignals();
     m_serverTracker.removeDue();
     m_entryTracker.removeDue();
@@ -145,9 +148,21 @@
     if (!m_ownEntry && isReady())
         publishEntry();
     m_log.flush();
+    m_nextTickAt = m_loop.now() + tickInterval;
     m_loop.schedule(tickInterval, [this] { onTick(); });
 }
 
+void GatewayApplication::reportLoopDelay()
+{
+    const core::Duration delay = m_loop.now() - m_nextTickAt;
+    if (m_nextTickAt.count() == 0 || delay < reportedLoopDelay)
+        return;
+    m_log.write(logging::LogLine("loop-late")
+                        .milliseconds("ms", delay)
+                        .number("connections",
+                                static_cast<std::int64_t>(m_callerListener->connectionCount())));
+}
+
 void GatewayApplication::publishEntry()
 {
     const auto onRenewed = [this](core::Duration elapsed, std::int64_t revision) {
--- a/modules/sardinehollow_gateway/application/GatewayApplication.h
+++ b/modules/sardinehollow_gateway/application/GatewayApplication.h
@@ -42,6 +42,8 @@
     makeQueryListener(const std::string &address, network::QueryListener::Handler handler);
     void onAcceptFailed(const std::string &address, const std::string &reason);
     void onTick();
+    /** Logs that timers run late, which delays requests as well. */
+    void reportLoopDelay();
     /** Publishes the crash reports of this daemon in its store entry. */
     void publishCrashReports();
     /** Writes the entry that directs callers here. */
@@ -84,6 +86,8 @@
     core::Instant m_stoppingSince {0};
     std::uint64_t m_publishedReportCount = 0;
     core::Instant m_reportsPublishedAt {0};
+    /** When the next tick is due; 0 before the first one. */
+    core::Instant m_nextTickAt {0};
 };
 
 } // namespace sardinehollow::gateway
--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -196,6 +196,14 @@
 void Exchange::attempt()
 {
     const core::Instant now = m_services.loop.now();
+    if (m_sink.hasCallerLeft()) {
+        m_services.metrics.countAttemptAfterClose(!m_tried.empty());
+        m_services.log.writeRequest(logging::LogLine("attempt-after-close")
+                                            .text("id", m_requestFields.requestId)
+                                            .number("attempt", m_attempts + 1)
+                                            .milliseconds("ms", now - m_startedAt),
+                                    now);
+    }
     if (m_tried.empty()) {
         m_requestHash = requestHash();
         if (m_services.routing.quarantine().contains(m_requestHash, now)) {
--- a/modules/sardinehollow_gateway/status/GatewayMetrics.cpp
+++ b/modules/sardinehollow_gateway/status/GatewayMetrics.cpp
@@ -40,6 +40,11 @@
     writer.family("server_limits_malformed_total",
                   "Request limits of servers that could not be parsed.", "counter");
     writer.sample("server_limits_malformed_total", {}, std::to_string(m_malformedLimits));
+    writer.family("attempts_after_close_total",
+                  "Attempts that were due after the caller had closed its connection.", "counter");
+    for (std::size_t index = 0; index < m_attemptsAfterClose.size(); ++index)
+        writer.sample("attempts_after_close_total", {{"attempt", index == 0 ? "first" : "retry"}},
+                      std::to_string(m_attemptsAfterClose[index]));
     writer.family("request_seconds", "Time from arrival to the response.", "histogram");
     for (const auto &[service, histogram] : m_latencies)
         histogram->appendTo(writer.text(),
--- a/modules/sardinehollow_network/connection/BufferedConnection.cpp
+++ b/modules/sardinehollow_network/connection/BufferedConnection.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cerrno>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace sardinehollow::network {
@@ -59,6 +60,14 @@
     return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool BufferedConnection::hasPeerClosed() const
+{
+    if (!m_isOpen)
+        return true;
+    pollfd state {m_socket.impl()->sockfd(), POLLRDHUP, 0};
+    return ::poll(&state, 1, 0) > 0;
+}
+
 std::string BufferedConnection::peerHost() const
 {
     try {
--- a/modules/sardinehollow_network/connection/BufferedConnection.h
+++ b/modules/sardinehollow_network/connection/BufferedConnection.h
@@ -37,6 +37,8 @@
     bool isConnected() const { return m_isConnected; }
     /** Whether the connection is open at both ends and has no unread input. */
     bool isOpenAndIdle() const;
+    /** Whether the peer has closed its end, also if bytes that it sent before are still unread. */
+    bool hasPeerClosed() const;
     /** IP address of the peer; empty if it has disconnected. */
     std::string peerHost() const;
     /** Pauses or resumes reading, to apply back-pressure to the peer. */
--- a/modules/sardinehollow_network/server/ResponseSink.h
+++ b/modules/sardinehollow_network/server/ResponseSink.h
@@ -27,6 +27,11 @@
     virtual std::size_t unsentResponseBytes() const = 0;
     /** Pauses or resumes reading the request's body. */
     virtual void setRequestReading(bool reading) = 0;
+    /**
+     * Whether the caller has closed the connection or reset it, also if bytes that it sent before
+     * are still unread.
+     */
+    virtual bool hasCallerLeft() const = 0;
     /** IP address of the caller; empty if it has disconnected. */
     virtual std::string peerHost() const = 0;
 };
--- a/modules/sardinehollow_network/server/ServerConnection.h
+++ b/modules/sardinehollow_network/server/ServerConnection.h
@@ -43,6 +43,7 @@
     std::size_t unsentResponseBytes() const override { return unsentBytes(); }
     void setRequestReading(bool reading) override;
     std::string peerHost() const override { return BufferedConnection::peerHost(); }
+    bool hasCallerLeft() const override { return hasPeerClosed(); }
 
     void readRequests();
     bool readRequestHead();
