Send nothing for a caller that has closed its connection

Cause: a connection is read once for each event, and what was read is handled before what lies behind it. The caller's close was looked at only when the read that found it came, so that a request whose close had arrived with it was sent first; a retry was sent in the same way when the failure of the attempt came before the close in one turn of the loop. The class: acting for somebody without asking whether they are still there. How late the send is depends on how far the daemon is behind.

--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -196,13 +196,11 @@
 void Exchange::attempt()
 {
     const core::Instant now = m_services.loop.now();
+    // The close may lie behind bytes of the caller that are still unread.
     if (m_sink.hasCallerLeft()) {
         m_services.metrics.countAttemptAfterClose(!m_tried.empty());
-        m_services.log.writeRequest(logging::LogLine("attempt-after-close")
-                                            .text("id", m_requestFields.requestId)
-                                            .number("attempt", m_attempts + 1)
-                                            .milliseconds("ms", now - m_startedAt),
-                                    now);
+        finish(RequestOutcome::CallerLeft, 0, "the caller closed its connection before an attempt");
+        return;
     }
     if (m_tried.empty()) {
         m_requestHash = requestHash();
