End a request when its caller closes while reading from it is paused

Reading from a caller is paused while it pipelines more than 64 KB, or while a server does not take the body that it sends; its close was then found only when reading went on.

Change: while a caller's connection is not read, the loop reports its close (EPOLLRDHUP). A server's connection asks for no such report: the rest of its response is still to be read.

--- a/modules/sardinehollow_network/connection/BufferedConnection.cpp
+++ b/modules/sardinehollow_network/connection/BufferedConnection.cpp
@@ -20,6 +20,7 @@
 BufferedConnection::BufferedConnection(EventLoop &loop, const Poco::Net::StreamSocket &socket)
     : m_loop(loop)
     , m_socket(socket)
+    , m_endsWithPeer(true)
     , m_isConnected(true)
 {
     m_socket.setBlocking(false);
@@ -29,6 +30,7 @@
 
 BufferedConnection::BufferedConnection(EventLoop &loop, const Poco::Net::SocketAddress &address)
     : m_loop(loop)
+    , m_endsWithPeer(false)
     , m_isWriting(true)
 {
     m_socket.connectNB(address);
@@ -155,6 +157,12 @@
     flush();
 }
 
+void BufferedConnection::onPeerClosed()
+{
+    if (m_isOpen && !m_isReading)
+        fail(peerClosed);
+}
+
 void BufferedConnection::flush()
 {
     const bool hadOutput = unsentBytes() > 0;
@@ -192,7 +200,7 @@
 
 void BufferedConnection::updateInterest()
 {
-    m_loop.update(m_socket, *this, m_isReading, m_isWriting);
+    m_loop.update(m_socket, *this, m_isReading, m_isWriting, m_endsWithPeer && !m_isReading);
 }
 
 void BufferedConnection::fail(const std::string &reason)
--- a/modules/sardinehollow_network/connection/BufferedConnection.h
+++ b/modules/sardinehollow_network/connection/BufferedConnection.h
@@ -52,6 +52,7 @@
 
     void onReadable() override;
     void onWritable() override;
+    void onPeerClosed() override;
 
 protected:
     EventLoop &loop() { return m_loop; }
@@ -74,6 +75,11 @@
 
     EventLoop &m_loop;
     Poco::Net::StreamSocket m_socket;
+    /**
+     * Whether the close of a peer ends the connection while reading is paused. A server's close
+     * does not, since the rest of its response is still to be read.
+     */
+    const bool m_endsWithPeer;
     std::string m_input;
     std::string m_output;
     std::size_t m_sentBytes = 0;
--- a/modules/sardinehollow_network/loop/EventLoop.cpp
+++ b/modules/sardinehollow_network/loop/EventLoop.cpp
@@ -45,27 +45,27 @@
 
 void EventLoop::add(const Poco::Net::Socket &socket, SocketHandler &handler, bool read, bool write)
 {
-    control(EPOLL_CTL_ADD, socket, &handler, read, write);
+    control(EPOLL_CTL_ADD, socket, &handler, read, write, false);
 }
 
 void EventLoop::update(const Poco::Net::Socket &socket, SocketHandler &handler, bool read,
-                       bool write)
+                       bool write, bool peerClose)
 {
-    control(EPOLL_CTL_MOD, socket, &handler, read, write);
+    control(EPOLL_CTL_MOD, socket, &handler, read, write, peerClose);
 }
 
 void EventLoop::remove(const Poco::Net::Socket &socket, SocketHandler &handler)
 {
-    control(EPOLL_CTL_DEL, socket, &handler, false, false);
+    control(EPOLL_CTL_DEL, socket, &handler, false, false, false);
     // Events for this handler that this iteration has already fetched are skipped.
     m_removed.push_back(&handler);
 }
 
 void EventLoop::control(int operation, const Poco::Net::Socket &socket, SocketHandler *handler,
-                        bool read, bool write)
+                        bool read, bool write, bool peerClose)
 {
     epoll_event event {};
-    event.events = (read ? EPOLLIN : 0U) | (write ? EPOLLOUT : 0U);
+    event.events = (read ? EPOLLIN : 0U) | (write ? EPOLLOUT : 0U) | (peerClose ? EPOLLRDHUP : 0U);
     event.data.ptr = handler;
     if (epoll_ctl(m_epoll, operation, socket.impl()->sockfd(), &event) != 0)
         throw Poco::SystemException("cannot change the epoll registration of a socket", errno);
@@ -153,6 +153,8 @@
             handler->onWritable();
         if ((event.events & (EPOLLIN | EPOLLERR | EPOLLHUP)) != 0 && !isRemoved())
             handler->onReadable();
+        if ((event.events & EPOLLRDHUP) != 0 && !isRemoved())
+            handler->onPeerClosed();
     }
 }
 
--- a/modules/sardinehollow_network/loop/EventLoop.h
+++ b/modules/sardinehollow_network/loop/EventLoop.h
@@ -37,7 +37,9 @@
     core::Instant now() const { return m_now; }
 
     void add(const Poco::Net::Socket &socket, SocketHandler &handler, bool read, bool write);
-    void update(const Poco::Net::Socket &socket, SocketHandler &handler, bool read, bool write);
+    /** The close of the peer is reported to SocketHandler::onPeerClosed() if that is asked for. */
+    void update(const Poco::Net::Socket &socket, SocketHandler &handler, bool read, bool write,
+                bool peerClose = false);
     void remove(const Poco::Net::Socket &socket, SocketHandler &handler);
 
     Timer schedule(core::Duration delay, Task task);
@@ -54,7 +56,7 @@
 
 private:
     void control(int operation, const Poco::Net::Socket &socket, SocketHandler *handler, bool read,
-                 bool write);
+                 bool write, bool peerClose);
     int waitMilliseconds() const;
     void dispatch(int count);
     void runTimers();
--- a/modules/sardinehollow_network/loop/SocketHandler.h
+++ b/modules/sardinehollow_network/loop/SocketHandler.h
@@ -12,6 +12,8 @@
     virtual void onReadable() = 0;
     /** The socket is writable or in error, or its connection attempt has completed or failed. */
     virtual void onWritable() = 0;
+    /** The peer has closed its end while the socket is not read; only if that was asked for. */
+    virtual void onPeerClosed() { }
 };
 
 } // namespace sardinehollow::network
--- a/tests/adapter/DepartedCallerTest.cpp
+++ b/tests/adapter/DepartedCallerTest.cpp
@@ -102,3 +102,22 @@
     });
     CHECK(fixture.attempts() == 1);
 }
+
+// GONE: the caller of a paused connection left, and its server went on working.
+TEST_CASE("A caller's close ends its request also while reading from the caller is paused")
+{
+    RawServer server([](const std::string &) { return Reply {"", false, true}; });
+    ExchangeFixture fixture;
+    fixture.addServer("one", server);
+    Poco::Net::StreamSocket socket = fixture.connect();
+    ExchangeFixture::sendRequest(socket, "/departed");
+    fixture.runIterations();
+    REQUIRE(fixture.attempts() == 1);
+    // A little more than the daemon buffers of pipelined requests.
+    const std::string more(72 * 1024, 'x');
+    socket.sendBytes(more.data(), static_cast<int>(more.size()));
+    fixture.runIterations();
+    socket.close();
+    fixture.runIterations();
+    CHECK(fixture.outcomes(gateway::RequestOutcome::CallerLeft) == 1);
+}
