Accept waiting connections together instead of one in each turn of the loop

Callers saw: requests that were sent on after their callers had left (GONE); retries on new connections that were read late.

Cause: the listener accepted one connection in each turn of the loop, beside up to 255 other events. In a storm of new connections the rest waited in the backlog, and a caller that gave up meanwhile left its request and its close there.

Change: up to 64 waiting connections are accepted in one turn. Whether one waits is asked for by poll(), since accept() without one would throw for each turn.

--- a/modules/sardinehollow_network/connection/Listener.cpp
+++ b/modules/sardinehollow_network/connection/Listener.cpp
@@ -11,6 +11,8 @@
 // With more unaccepted connections than this, the system drops SYN packets, which are retransmitted
 // only after a second.
 constexpr int backlog = 1024;
+// Connections accepted in one turn of the loop; bounds how long the others wait for it.
+constexpr int maxAcceptsPerTurn = 64;
 // Connections close often enough that a file descriptor is likely to be free by then.
 constexpr core::Duration acceptRetryDelay = std::chrono::milliseconds(100);
 
@@ -46,8 +48,12 @@
 void Listener::onReadable()
 {
     try {
-        m_onAccept(m_socket.acceptConnection());
-        m_isFailing = false;
+        int accepted = 0;
+        do {
+            m_onAccept(m_socket.acceptConnection());
+            m_isFailing = false;
+        } while (m_isOpen && ++accepted < maxAcceptsPerTurn
+                 && m_socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ));
     } catch (const Poco::Exception &exception) {
         // The caller disconnected before its connection was accepted.
         const bool isTransient = exception.code() == ECONNABORTED || exception.code() == EAGAIN
--- a/tests/network/ListenerTest.cpp
+++ b/tests/network/ListenerTest.cpp
@@ -65,3 +65,16 @@
     socket.sendBytes(request.data(), static_cast<int>(request.size()));
     CHECK(tests::ServerFixture::readAll(socket).find("body") != std::string::npos);
 }
+
+// GONE: connections waited for one turn of the loop each, and were served after their callers had
+// left.
+TEST_CASE("Connections that wait together are accepted in one turn of the loop")
+{
+    tests::ServerFixture fixture("body", true);
+    std::vector<Poco::Net::StreamSocket> sockets;
+    fixture.whileHeld([&] {
+        for (int count = 0; count < 40; ++count)
+            sockets.emplace_back(fixture.address());
+    });
+    CHECK(fixture.connections() == sockets.size());
+}
--- a/tests/network/ServerFixture.h
+++ b/tests/network/ServerFixture.h
@@ -61,6 +61,22 @@
             done.get_future().wait();
         }
     }
+    /** Keeps the loop from handling events while the function runs on the calling thread. */
+    template <typename Function>
+    void whileHeld(const Function &events)
+    {
+        std::promise<void> isHeld;
+        std::promise<void> isReleased;
+        m_loop.post([&] {
+            isHeld.set_value();
+            isReleased.get_future().wait();
+        });
+        isHeld.get_future().wait();
+        events();
+        isReleased.set_value();
+        // The promises are in use until the task has returned.
+        runIterations(1);
+    }
     /** Open connections that the listener has accepted. */
     std::size_t connections()
     {
