Look up the quarantine before every attempt, not only the first

Hypothesis 3: a request in progress was retried although it had been quarantined since its first attempt. It now ends: 502 if it may have run, else 503.

Test: 'A request that is quarantined while it runs is not retried' (3 attempts before, 2 now).

--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -202,13 +202,11 @@
         finish(RequestOutcome::CallerLeft, 0, "the caller closed its connection before an attempt");
         return;
     }
-    if (m_tried.empty()) {
+    if (m_tried.empty())
         m_requestHash = requestHash();
-        if (m_services.routing.quarantine().contains(m_requestHash, now)) {
-            refuse(RequestOutcome::Quarantined,
-                   "the request is quarantined: backend servers crashed while running it");
-            return;
-        }
+    if (m_services.routing.quarantine().contains(m_requestHash, now)) {
+        finishQuarantined();
+        return;
     }
     const routing::Selection selection
             = m_services.routing.select(*m_route, m_service, m_objectHash, m_tried, now);
@@ -230,6 +228,16 @@
     send(selection);
 }
 
+void Exchange::finishQuarantined()
+{
+    constexpr const char *detail
+            = "the request is quarantined: backend servers crashed while running it";
+    if (m_mayHaveRun)
+        finish(RequestOutcome::OutcomeUnknown, HTTPResponse::HTTP_BAD_GATEWAY, detail);
+    else
+        refuse(RequestOutcome::Quarantined, detail);
+}
+
 std::uint64_t Exchange::requestHash() const
 {
     const std::uint64_t head = core::combineHashes(core::stableHash(m_request.getMethod() + " "
--- a/modules/sardinehollow_gateway/exchange/Exchange.h
+++ b/modules/sardinehollow_gateway/exchange/Exchange.h
@@ -40,6 +40,8 @@
 
 private:
     void attempt();
+    /** Ends a request that is quarantined, before its first attempt or between attempts. */
+    void finishQuarantined();
     /** Fingerprint of the request for the quarantine; the same at every daemon. */
     std::uint64_t requestHash() const;
     void send(const routing::Selection &selection);
--- /dev/null
+++ b/tests/adapter/CrashingRequestTest.cpp
@@ -0,0 +1,57 @@
+#include "adapter/ExchangeFixture.h"
+#include "adapter/GatewayFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sardinehollow;
+using tests::ExchangeFixture;
+using tests::RawServer;
+using Reply = RawServer::Reply;
+
+namespace {
+
+/** Sends a request and returns the status of its response; 0 if there was none. */
+int statusOf(const ExchangeFixture &fixture, const std::string &target)
+{
+    Poco::Net::StreamSocket socket = fixture.connect();
+    ExchangeFixture::sendRequest(socket, target, "Connection: close\r\n");
+    std::string text;
+    char buffer[4096];
+    for (int count = 1; count > 0;) {
+        count = socket.receiveBytes(buffer, sizeof buffer);
+        text.append(buffer, static_cast<std::size_t>(std::max(count, 0)));
+    }
+    return text.size() < 12 ? 0 : std::stoi(text.substr(9, 3));
+}
+
+} // namespace
+
+// BUDGET: a request that was quarantined while an attempt ran was retried and ended another server.
+TEST_CASE("A request that is quarantined while it runs is not retried")
+{
+    ExchangeFixture *running = nullptr;
+    const auto crash = [&running](const std::string &) {
+        // Another daemon reports a second server that ended with the request in flight.
+        running->run([&] {
+            routing::RequestQuarantine &quarantine = running->state.quarantine();
+            const std::vector<routing::CrashReport> reports = quarantine.reports();
+            if (!reports.empty())
+                quarantine.setPeerReports("vm-2", {{reports.front().request, "other@1"}},
+                                          running->now());
+            quarantine.evaluate(running->now());
+        });
+        return Reply {"", true};
+    };
+    RawServer first(crash);
+    RawServer one(crash);
+    RawServer two(crash);
+    ExchangeFixture fixture;
+    running = &fixture;
+    fixture.addServer("first", first);
+    CHECK(statusOf(fixture, "/crash") == 502);
+    fixture.removeServer("first");
+    fixture.addServer("one", one);
+    fixture.addServer("two", two);
+    CHECK(statusOf(fixture, "/crash") == 502);
+    CHECK(fixture.attempts() == 2);
+}
--- a/tests/adapter/ExchangeFixture.h
+++ b/tests/adapter/ExchangeFixture.h
@@ -65,6 +65,14 @@
         });
     }
 
+    void removeServer(const std::string &id)
+    {
+        run([&] {
+            state.backends().remove(id);
+            state.quarantine().evaluate(m_loop.now());
+        });
+    }
+
     /** Runs a function on the loop's thread and waits for it. */
     void run(const std::function<void()> &task)
     {
