Suspect requests that were given up before their server crashed

Hypothesis 1: only a connection that breaks made a request a suspect. An attempt that ends because its caller leaves, or because its time is up at a server that has gone silent, left no trace, so that such a request was never quarantined however many servers ended.

Change: an attempt given up on an established connection is a suspect too, unless the server answers another request more than 1 s later or had said that it leaves.

--- a/modules/sardinehollow_gateway/backend/BackendConnection.cpp
+++ b/modules/sardinehollow_gateway/backend/BackendConnection.cpp
@@ -61,7 +61,7 @@
 {
     m_server->onRequestEnded();
     if (isAnswered)
-        m_server->onResponse(loop().now() - m_sentAt, m_loadAtSend);
+        m_server->onResponse(loop().now() - m_sentAt, m_loadAtSend, loop().now());
 }
 
 } // namespace sardinehollow::gateway
--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -554,7 +554,7 @@
     if (m_isStreaming)
         return;
     const bool wasSent = m_attempts > 0;
-    cancelBackendRequest();
+    abandonAttempt();
     if (!wasSent && !m_isBodyWhole) {
         refuse(RequestOutcome::RequestTimeout,
                "the request body did not arrive within the timeout");
@@ -573,7 +573,7 @@
 {
     if (m_isFinished)
         return;
-    cancelBackendRequest();
+    abandonAttempt();
     finish(RequestOutcome::CallerLeft, 0, "the caller closed its connection");
 }
 
@@ -634,6 +634,14 @@
     return line;
 }
 
+void Exchange::abandonAttempt()
+{
+    if (m_backend && m_backend->isConnected() && !m_isStreaming)
+        m_services.routing.quarantine().onAttemptAbandoned(m_requestHash, m_server,
+                                                           m_services.loop.now());
+    cancelBackendRequest();
+}
+
 void Exchange::cancelBackendRequest()
 {
     if (!m_backend)
--- a/modules/sardinehollow_gateway/exchange/Exchange.h
+++ b/modules/sardinehollow_gateway/exchange/Exchange.h
@@ -71,6 +71,8 @@
     /** Returns the log line of the finished request. */
     logging::LogLine requestLine(RequestOutcome outcome, int status, const std::string &detail,
                                  core::Instant now) const;
+    /** Cancels an attempt before its response; the server may still crash while running it. */
+    void abandonAttempt();
     void cancelBackendRequest();
 
     GatewayServices &m_services;
--- a/modules/sardinehollow_routing/backends/BackendState.cpp
+++ b/modules/sardinehollow_routing/backends/BackendState.cpp
@@ -62,9 +62,9 @@
     --m_inFlight;
 }
 
-void BackendState::onResponse(core::Duration latency, double loadAtSend)
+void BackendState::onResponse(core::Duration latency, double loadAtSend, core::Instant now)
 {
-    m_hasResponded = true;
+    m_lastResponseAt = now;
     const double batches = std::max(1.0, loadAtSend / m_server.slots);
     const core::Duration serverTime = latency - m_roundTrip;
     const auto sample = std::chrono::duration_cast<core::Duration>(
@@ -75,7 +75,7 @@
 
 void BackendState::setInitialServiceTime(core::Duration serviceTime)
 {
-    if (!m_hasResponded)
+    if (m_lastResponseAt.count() == 0)
         m_serviceTime = serviceTime;
 }
 
--- a/modules/sardinehollow_routing/backends/BackendState.h
+++ b/modules/sardinehollow_routing/backends/BackendState.h
@@ -57,7 +57,9 @@
     /** Records the end of a request, with or without a response. */
     void onRequestEnded();
     /** Records a complete response to a request that was sent when the load was loadAtSend. */
-    void onResponse(core::Duration latency, double loadAtSend);
+    void onResponse(core::Duration latency, double loadAtSend, core::Instant now);
+    /** Time of the last complete response to this daemon; 0 if none. */
+    core::Instant lastResponseAt() const { return m_lastResponseAt; }
     /** Records a new connection; the time taken to connect approximates the round-trip time. */
     void onConnected(core::Duration latency);
     /**
@@ -132,7 +134,7 @@
     double m_extrapolatedLoad = 0;
     /** Moving average of the time that one request runs, without queueing and round trip. */
     core::Duration m_serviceTime;
-    bool m_hasResponded = false;
+    core::Instant m_lastResponseAt {0};
     /** Shortest time taken to connect so far; 0 before the first connection. */
     core::Duration m_roundTrip {0};
     double m_slowdown = 1;
--- a/modules/sardinehollow_routing/quarantine/RequestQuarantine.cpp
+++ b/modules/sardinehollow_routing/quarantine/RequestQuarantine.cpp
@@ -10,6 +10,8 @@
 // The entry of a dead server is removed after three missed heartbeats or when the server restarts;
 // a refused connection shows the crash earlier.
 constexpr core::Duration crashConfirmationTime = std::chrono::seconds(8);
+// Servers drop a request whose connection closes, or finish it within about this time.
+constexpr core::Duration abandonedRunTime = std::chrono::seconds(1);
 // Long enough for a caller that repeats its request occasionally, and short for a caller whose
 // request was in flight only by chance.
 constexpr core::Duration quarantineDuration = std::chrono::seconds(60);
@@ -29,11 +31,35 @@
 void RequestQuarantine::onConnectionLost(std::uint64_t request, const BackendStatePtr &server,
                                          core::Instant now)
 {
-    m_lostRequests.push_back({request, server, now});
+    addLostRequest({request, server, now, false});
+}
+
+void RequestQuarantine::onAttemptAbandoned(std::uint64_t request, const BackendStatePtr &server,
+                                           core::Instant now)
+{
+    addLostRequest({request, server, now, true});
+}
+
+void RequestQuarantine::addLostRequest(const LostRequest &lost)
+{
+    m_lostRequests.push_back(lost);
     if (m_lostRequests.size() > maximumLostRequests)
         m_lostRequests.pop_front();
 }
 
+bool RequestQuarantine::hasCrashed(const LostRequest &lost)
+{
+    if (lost.server->lastConnectFailureAt() >= lost.at)
+        return true;
+    // A server that announced its departure has not crashed with a request that was given up.
+    return lost.server->isRemoved() && !(lost.isAbandoned && lost.server->isLeaving());
+}
+
+bool RequestQuarantine::hasSurvived(const LostRequest &lost)
+{
+    return lost.isAbandoned && lost.server->lastResponseAt() > lost.at + abandonedRunTime;
+}
+
 void RequestQuarantine::onRequestCompleted(std::uint64_t request)
 {
     std::erase_if(m_lostRequests,
@@ -46,11 +72,11 @@
 {
     for (auto lost = m_lostRequests.begin(); lost != m_lostRequests.end();) {
         const bool isTooLate = now - lost->at > crashConfirmationTime;
-        const bool hasCrashed
-                = lost->server->isRemoved() || lost->server->lastConnectFailureAt() >= lost->at;
-        if (hasCrashed && !isTooLate)
+        const bool isCrash = hasCrashed(*lost);
+        const bool isCleared = isTooLate || hasSurvived(*lost);
+        if (isCrash && !isCleared)
             addReport(*lost, now);
-        lost = hasCrashed || isTooLate ? m_lostRequests.erase(lost) : std::next(lost);
+        lost = isCrash || isCleared ? m_lostRequests.erase(lost) : std::next(lost);
     }
     std::vector<std::uint64_t> quarantined;
     for (const std::uint64_t request : m_candidates) {
--- a/modules/sardinehollow_routing/quarantine/RequestQuarantine.h
+++ b/modules/sardinehollow_routing/quarantine/RequestQuarantine.h
@@ -15,7 +15,8 @@
 
 /**
  * Detects requests that crash the servers that run them: requests that were in flight on two
- * servers when these crashed, according to the reports of all daemons. Such a request is
+ * servers when these crashed, or were given up there shortly before, according to the reports of
+ * all daemons. Such a request is
  * quarantined for 60 s. The number of reports and quarantined requests is bounded. Not safe for
  * concurrent use.
  */
@@ -24,6 +25,12 @@
 public:
     /** Records that a connection broke with the request in flight; the server may have crashed. */
     void onConnectionLost(std::uint64_t request, const BackendStatePtr &server, core::Instant now);
+    /**
+     * Records that an attempt was given up before its response, since the caller left or the time
+     * was up; the server may go on running it, or may have crashed without a sign.
+     */
+    void onAttemptAbandoned(std::uint64_t request, const BackendStatePtr &server,
+                            core::Instant now);
     /** Records that a server answered the request, which clears it of suspicion at this daemon. */
     void onRequestCompleted(std::uint64_t request);
     /** Checks for crashed servers and returns the requests that are newly quarantined. */
@@ -48,6 +55,8 @@
         std::uint64_t request = 0;
         BackendStatePtr server;
         core::Instant at {0};
+        /** The attempt was given up; otherwise its connection broke. */
+        bool isAbandoned = false;
     };
 
     struct ReportEntry
@@ -56,6 +65,11 @@
         core::Instant expires {0};
     };
 
+    void addLostRequest(const LostRequest &lost);
+    /** Whether the server is known to have crashed with the request in flight or soon after. */
+    static bool hasCrashed(const LostRequest &lost);
+    /** Whether the server has answered others for long enough after the attempt was given up. */
+    static bool hasSurvived(const LostRequest &lost);
     void addReport(const LostRequest &lost, core::Instant now);
     /** Whether unexpired reports name two or more crashed servers for the request. */
     bool isConfirmed(std::uint64_t request, core::Instant now) const;
--- a/tests/adapter/CrashingRequestTest.cpp
+++ b/tests/adapter/CrashingRequestTest.cpp
@@ -11,10 +11,11 @@
 namespace {
 
 /** Sends a request and returns the status of its response; 0 if there was none. */
-int statusOf(const ExchangeFixture &fixture, const std::string &target)
+int statusOf(const ExchangeFixture &fixture, const std::string &target,
+             int deadlineMilliseconds = 60'000)
 {
     Poco::Net::StreamSocket socket = fixture.connect();
-    ExchangeFixture::sendRequest(socket, target, "Connection: close\r\n");
+    ExchangeFixture::sendRequest(socket, target, "Connection: close\r\n", deadlineMilliseconds);
     std::string text;
     char buffer[4096];
     for (int count = 1; count > 0;) {
@@ -55,3 +56,33 @@
     CHECK(statusOf(fixture, "/crash") == 502);
     CHECK(fixture.attempts() == 2);
 }
+
+// BUDGET: servers that crashed after a caller had left, or without a sign, left no trace of the
+// request, which went to one server after the other.
+TEST_CASE("A request that was given up before its server crashed is quarantined after two crashes")
+{
+    const std::string end = GENERATE("the caller leaves", "the time is up");
+    CAPTURE(end);
+    RawServer server([](const std::string &) { return Reply {"", false, true}; });
+    ExchangeFixture fixture;
+    for (const std::string id : {"one", "two"}) {
+        fixture.addServer(id, server);
+        const std::uint64_t before = fixture.pool.opened();
+        if (end == "the time is up") {
+            CHECK(statusOf(fixture, "/crash", 100) == 504);
+        } else {
+            Poco::Net::StreamSocket socket = fixture.connect();
+            ExchangeFixture::sendRequest(socket, "/crash");
+            const std::size_t received = id == "one" ? 1 : 2;
+            while (server.heads().size() < received)
+                std::this_thread::yield();
+            socket.close();
+            fixture.runIterations();
+        }
+        CHECK(fixture.pool.opened() == before + 1);
+        fixture.removeServer(id);
+    }
+    fixture.addServer("three", server);
+    CHECK(statusOf(fixture, "/crash") == 503);
+    CHECK(fixture.attempts() == 2);
+}
--- a/tests/adapter/ExchangeFixture.h
+++ b/tests/adapter/ExchangeFixture.h
@@ -112,11 +112,11 @@
     }
 
     static void sendRequest(Poco::Net::StreamSocket &socket, const std::string &target,
-                            const std::string &extraHeaders = "")
+                            const std::string &extraHeaders = "", int deadlineMilliseconds = 60'000)
     {
         const std::string text = "GET " + target
-                + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: id\r\nDeadline-Ms: 60000\r\n"
-                + extraHeaders + "\r\n";
+                + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: id\r\nDeadline-Ms: "
+                + std::to_string(deadlineMilliseconds) + "\r\n" + extraHeaders + "\r\n";
         socket.sendBytes(text.data(), static_cast<int>(text.size()));
     }
 
--- a/tests/routing/BackendStateTest.cpp
+++ b/tests/routing/BackendStateTest.cpp
@@ -49,7 +49,7 @@
     const core::Instant now = 10s;
     server.onConnected(70ms);
     for (int index = 0; index < 200; ++index)
-        server.onResponse(170ms, 1);
+        server.onResponse(170ms, 1, now);
     CHECK(server.expectedLatency(now) > 165ms);
     CHECK(server.expectedLatency(now) < 175ms);
     server.onLoadReport(6, 5, 6, now);
--- a/tests/routing/RequestQuarantineTest.cpp
+++ b/tests/routing/RequestQuarantineTest.cpp
@@ -93,6 +93,45 @@
     CHECK_FALSE(world.isQuarantined());
 }
 
+// BUDGET: only broken connections counted, so that requests whose callers left stayed unsuspected.
+TEST_CASE("A request that was given up is suspected if its server crashes soon after")
+{
+    struct AbandonedCase
+    {
+        const char *failure;
+        bool isUnreachable;
+        bool isLeaving;
+        /** When the server answers another request, after the attempt was given up; 0: never. */
+        core::Duration answersAfter;
+        bool isQuarantined;
+    };
+    const AbandonedCase item = GENERATE(
+            AbandonedCase {"a crash leaves no trace", false, false, 0s, true},
+            AbandonedCase {"a refused connection is no sign", true, false, 0s, true},
+            AbandonedCase {"an answer just before the crash clears", false, false, 500ms, true},
+            AbandonedCase {"a server that lived on counts", false, false, 1500ms, false},
+            AbandonedCase {"a planned departure counts", false, true, 0s, false});
+    CAPTURE(item.failure);
+    World world;
+    for (const std::string id : {"s1", "s2"}) {
+        const routing::BackendStatePtr server = makeServer(id);
+        world.quarantine.onAttemptAbandoned(request, server, world.now);
+        server->onRequestSent(world.now);
+        if (item.answersAfter.count() > 0)
+            server->onResponse(100ms, 1, world.now + item.answersAfter);
+        world.now += 2s;
+        world.quarantine.evaluate(world.now);
+        if (item.isLeaving)
+            server->onLeaveAnnounced();
+        if (item.isUnreachable)
+            server->onConnectFailed(world.now);
+        else
+            server->setRemoved(true);
+        world.quarantine.evaluate(world.now);
+    }
+    CHECK(world.isQuarantined() == item.isQuarantined);
+}
+
 TEST_CASE("A refused connection after a broken one confirms that the server crashed")
 {
     World world;
