Let crash reports outlive the daemon that made them

Hypothesis 2: what a daemon had seen was in its own entry alone. When its entry lapsed, or when it started again and wrote a new one, the others dropped its reports, so that two crashes seen by two daemons did not add up; and a daemon that started again learned of a quarantined request only while all authors of its reports lived. The class: knowledge that is tied to the life of who gathered it.

Change: reports hold until they expire, whatever becomes of their author's entry. A daemon that refuses a quarantined request publishes the others' reports about it, marked as relayed; those are not passed on again, or daemons would renew each other's reports for ever. Expired reports are taken out of the entry, since a daemon that starts later would take them for new.

Test: 'Crash reports outlive the daemon that made them'; with the old rule put back (an empty entry drops the reports, a refusal publishes nothing) both sections fail.

--- a/modules/sardinehollow_gateway/application/EntryCodec.cpp
+++ b/modules/sardinehollow_gateway/application/EntryCodec.cpp
@@ -22,6 +22,8 @@
     object->set("request",
                 Poco::NumberFormatter::formatHex(static_cast<Poco::UInt64>(report.request)));
     object->set("server", report.server);
+    if (report.isRelayed)
+        object->set("relayed", true);
     return object;
 }
 
@@ -30,6 +32,7 @@
     routing::CrashReport report;
     report.request = Poco::NumberParser::parseHex64(object.getValue<std::string>("request"));
     report.server = object.getValue<std::string>("server");
+    report.isRelayed = object.optValue("relayed", false);
     return report;
 }
 
--- a/modules/sardinehollow_gateway/application/EntryTracker.cpp
+++ b/modules/sardinehollow_gateway/application/EntryTracker.cpp
@@ -42,7 +42,6 @@
 void EntryTracker::remove(const std::string &name, const char *reason)
 {
     services().routing.entries().remove(name);
-    services().routing.quarantine().removePeer(name);
     services().log.write(logging::LogLine("entry-removed").text("vm", name).text("reason", reason));
 }
 
--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -232,6 +232,7 @@
 {
     constexpr const char *detail
             = "the request is quarantined: backend servers crashed while running it";
+    m_services.routing.quarantine().onRefused(m_requestHash, m_services.loop.now());
     if (m_mayHaveRun)
         finish(RequestOutcome::OutcomeUnknown, HTTPResponse::HTTP_BAD_GATEWAY, detail);
     else
--- a/modules/sardinehollow_routing/quarantine/CrashReport.h
+++ b/modules/sardinehollow_routing/quarantine/CrashReport.h
@@ -12,8 +12,14 @@
     std::uint64_t request = 0;
     /** The server's incarnation: id and start time. */
     std::string server;
+    /** Whether the publishing daemon has it from another daemon; such a report is not passed on. */
+    bool isRelayed = false;
 
-    bool operator==(const CrashReport &) const = default;
+    /** Whether two reports are about the same crash. */
+    bool isSameCrash(const CrashReport &other) const
+    {
+        return request == other.request && server == other.server;
+    }
 };
 
 } // namespace sardinehollow::routing
--- a/modules/sardinehollow_routing/quarantine/RequestQuarantine.cpp
+++ b/modules/sardinehollow_routing/quarantine/RequestQuarantine.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t maximumLostRequests = 1024;
 // Keeps a daemon's crash reports within a store entry of a few kilobytes.
 constexpr std::size_t maximumReports = 64;
+// Of one other daemon, which may have started again with further ones.
+constexpr std::size_t maximumPeerReports = 2 * maximumReports;
 constexpr std::size_t maximumQuarantined = 1024;
 
 std::string incarnationOf(const BackendState &server)
@@ -89,14 +91,51 @@
         quarantined.push_back(request);
     }
     m_candidates.clear();
+    dropExpired(now);
     return quarantined;
 }
 
+void RequestQuarantine::dropExpired(core::Instant now)
+{
+    const auto isExpired = [now](const ReportEntry &entry) { return entry.expires <= now; };
+    // Published again without them, since a daemon that starts again would take them for new.
+    if (std::erase_if(m_reportEntries, isExpired) > 0)
+        ++m_reportCount;
+    std::erase_if(m_peerReports, [&](const auto &peer) {
+        return std::all_of(peer.second.begin(), peer.second.end(), [now](const ReportEntry &entry) {
+            return entry.expires + quarantineDuration <= now;
+        });
+    });
+}
+
+void RequestQuarantine::onRefused(std::uint64_t request, core::Instant now)
+{
+    for (const auto &[daemon, entries] : m_peerReports) {
+        for (const ReportEntry &entry : entries) {
+            const CrashReport &report = entry.report;
+            const bool isNews = report.request == request && !report.isRelayed
+                    && now < entry.expires && !hasOwnReport(report);
+            if (!isNews)
+                continue;
+            m_reportEntries.push_back({{report.request, report.server, true}, entry.expires});
+            ++m_reportCount;
+        }
+    }
+    while (m_reportEntries.size() > maximumReports)
+        m_reportEntries.pop_front();
+}
+
+bool RequestQuarantine::hasOwnReport(const CrashReport &report) const
+{
+    return std::any_of(m_reportEntries.begin(), m_reportEntries.end(),
+                       [&](const ReportEntry &entry) { return entry.report.isSameCrash(report); });
+}
+
 void RequestQuarantine::addReport(const LostRequest &lost, core::Instant now)
 {
     const CrashReport report {lost.request, incarnationOf(*lost.server)};
     std::erase_if(m_reportEntries, [&](const ReportEntry &entry) {
-        return entry.expires <= now || entry.report == report;
+        return entry.expires <= now || entry.report.isSameCrash(report);
     });
     m_reportEntries.push_back({report, now + quarantineDuration});
     if (m_reportEntries.size() > maximumReports)
@@ -135,28 +174,22 @@
 void RequestQuarantine::setPeerReports(const std::string &daemon,
                                        const std::vector<CrashReport> &reports, core::Instant now)
 {
-    const auto known = m_peerReports.find(daemon);
-    if (reports.empty()) {
-        if (known != m_peerReports.end())
-            m_peerReports.erase(known);
-        return;
-    }
-    const std::vector<ReportEntry> earlier
-            = known == m_peerReports.end() ? std::vector<ReportEntry> {} : known->second;
-    std::vector<ReportEntry> entries;
+    std::vector<ReportEntry> &entries = m_peerReports[daemon];
     for (const CrashReport &report : reports) {
-        ReportEntry entry {report, now + quarantineDuration};
-        const auto same
-                = std::find_if(earlier.begin(), earlier.end(),
-                               [&](const ReportEntry &other) { return other.report == report; });
+        const bool isKnown
+                = std::any_of(entries.begin(), entries.end(), [&](const ReportEntry &entry) {
+                      return entry.report.isSameCrash(report);
+                  });
         // A report that is read again keeps its expiry.
-        if (same != earlier.end())
-            entry.expires = same->expires;
-        else
-            m_candidates.push_back(report.request);
-        entries.push_back(entry);
+        if (isKnown)
+            continue;
+        entries.push_back({report, now + quarantineDuration});
+        m_candidates.push_back(report.request);
     }
-    m_peerReports[daemon] = entries;
+    while (entries.size() > maximumPeerReports)
+        entries.erase(entries.begin());
+    if (entries.empty())
+        m_peerReports.erase(daemon);
 }
 
 } // namespace sardinehollow::routing
--- a/modules/sardinehollow_routing/quarantine/RequestQuarantine.h
+++ b/modules/sardinehollow_routing/quarantine/RequestQuarantine.h
@@ -44,10 +44,15 @@
     std::vector<CrashReport> reports() const;
     /** Number of own reports added so far; changes whenever there is a new report to publish. */
     std::uint64_t reportCount() const { return m_reportCount; }
-    /** Replaces the crash reports of another daemon. */
+    /** Takes the crash reports of another daemon; earlier ones hold until they expire. */
     void setPeerReports(const std::string &daemon, const std::vector<CrashReport> &reports,
                         core::Instant now);
-    void removePeer(const std::string &daemon) { m_peerReports.erase(daemon); }
+    /**
+     * Records that a quarantined request was refused. The reports of other daemons about it are
+     * published with the own ones, so that a daemon that starts again learns of it although their
+     * authors have lost them.
+     */
+    void onRefused(std::uint64_t request, core::Instant now);
 
 private:
     struct LostRequest
@@ -65,6 +70,8 @@
         core::Instant expires {0};
     };
 
+    bool hasOwnReport(const CrashReport &report) const;
+    void dropExpired(core::Instant now);
     void addLostRequest(const LostRequest &lost);
     /** Whether the server is known to have crashed with the request in flight or soon after. */
     static bool hasCrashed(const LostRequest &lost);
--- a/tests/routing/RequestQuarantineTest.cpp
+++ b/tests/routing/RequestQuarantineTest.cpp
@@ -164,6 +164,48 @@
     CHECK_FALSE(other.isQuarantined());
 }
 
+// BUDGET: what a daemon had seen was dropped with its entry, and after its restart it knew nothing.
+TEST_CASE("Crash reports outlive the daemon that made them")
+{
+    World first;
+    World second;
+    World other;
+    first.crash("s1");
+    other.quarantine.setPeerReports("first", first.quarantine.reports(), other.now);
+    SECTION("until a second crash is seen")
+    {
+        // The daemon starts again and writes its entry without reports.
+        other.quarantine.setPeerReports("first", {}, other.now);
+        other.now += 5s;
+        other.crash("s2");
+        CHECK(other.isQuarantined());
+        other.now += 120s;
+        other.quarantine.evaluate(other.now);
+        CHECK_FALSE(other.isQuarantined());
+    }
+    SECTION("for a daemon that starts later")
+    {
+        second.crash("s2");
+        other.quarantine.setPeerReports("second", second.quarantine.reports(), other.now);
+        other.quarantine.evaluate(other.now);
+        REQUIRE(other.isQuarantined());
+        other.quarantine.onRefused(request, other.now);
+        World restarted;
+        restarted.quarantine.setPeerReports("other", other.quarantine.reports(), restarted.now);
+        restarted.quarantine.evaluate(restarted.now);
+        CHECK(restarted.isQuarantined());
+        // Without a bound, daemons would renew each other's reports for ever.
+        restarted.quarantine.onRefused(request, restarted.now);
+        CHECK(restarted.quarantine.reports().empty());
+        // A report that has expired is no longer published.
+        const std::uint64_t published = other.quarantine.reportCount();
+        other.now += 61s;
+        other.quarantine.evaluate(other.now);
+        CHECK(other.quarantine.reports().empty());
+        CHECK(other.quarantine.reportCount() > published);
+    }
+}
+
 TEST_CASE("A crash seen by two daemons counts once")
 {
     World one;
