Tell the histories of a restored store apart, so that no change after a restore is missed

Callers saw (CONFIG, HOME, DENIED): after the store had come back from a copy some seconds old, no change that operators made was in force any more; routes that had been added were answered 404.

Cause (hypothesis 1): revisions go back and are given out again. A watch went on after a revision of the earlier history; once the new one had passed it, no status told of the restore, and what had been written below it was never reported. Read nowhere: Store-Era. The same class: a lease's id is given out again too, so that a daemon would renew or revoke another's lease. Two counters that look alike were compared across a loss of what they count.

Change: the adapter takes the number of the history from Store-Era and puts it into the revisions that it yields, so that a later revision is always the larger one, across restores, relays and restarts. A watch ends when its history does, and all keys are read again. Relays give their followers all contents of the new history.

A first trial with eras from 1 in the stand-in made adapter tests that start watches at plain revisions wait for ever; the stand-in counts from 0.

--- a/modules/sardinehollow_gateway/sharing/SharedMirror.cpp
+++ b/modules/sardinehollow_gateway/sharing/SharedMirror.cpp
@@ -3,6 +3,7 @@
 #include "sardinehollow_gateway/application/EntryCodec.h"
 #include "sardinehollow_gateway/sharing/FeedCodec.h"
 #include "sardinehollow_metrics/PrometheusWriter.h"
+#include "sardinehollow_platform/store/StoreHistory.h"
 #include "sardinehollow_sharing/relays/RelaySelection.h"
 
 namespace sardinehollow::gateway {
@@ -129,15 +130,20 @@
 void SharedMirror::applySnapshot(const std::vector<platform::KeyValue> &keyValues,
                                  std::int64_t revision)
 {
-    const bool isFirst = m_follower.revision() == 0;
+    const std::int64_t previous = m_follower.revision();
+    const bool isFirst = previous == 0;
+    const bool isRestored
+            = !isFirst && platform::historyOf(revision) > platform::historyOf(previous);
     const std::vector<platform::KeyValue> changes = changesOf(keyValues, revision);
     if (!m_follower.onSnapshot(revision))
         return;
     replaceContents(keyValues);
+    if (isRestored)
+        m_target.onStoreRestored();
     // A relay's followers wait for contents that are not out of date.
     if (isFirst && m_isRelay)
         m_mirror.restartWatch();
-    if (isFirst)
+    if (isFirst || isRestored)
         m_feed.reset(revision);
     else
         m_feed.append(changes, revision);
@@ -239,6 +245,8 @@
     }
     if (update.isSnapshot) {
         replaceContents(update.changes);
+        if (update.isRestored)
+            m_target.onStoreRestored();
         m_feed.reset(m_follower.revision());
         m_joinedAt = m_loop.now();
         stopJoining();
@@ -360,6 +368,9 @@
 void SharedMirror::onStoreContact(core::Instant startedAt, std::int64_t revision)
 {
     m_follower.onOwnContact(startedAt);
+    // The watch may wait for a response of the earlier history.
+    if (m_isWatching && platform::historyOf(revision) > platform::historyOf(m_follower.revision()))
+        m_mirror.restartWatch();
     if (m_hasWrittenEntry || revision == 0)
         return;
     // The revision of the entry's write grows from one start of this daemon to the next.
@@ -395,7 +406,10 @@
         return;
     FeedEncoder encoder;
     for (auto &[vm, frame] : m_feed.takeFrames(m_loop.now())) {
-        if (frame.isHistoryLost && frame.afterRevision == 0)
+        const bool hasContentsOfHistory = platform::historyOf(frame.afterRevision)
+                        == platform::historyOf(m_follower.revision())
+                && frame.afterRevision > 0;
+        if (frame.isHistoryLost && !hasContentsOfHistory)
             addContents(frame);
         m_transport->send(vm, encoder.encode(frame));
         ++m_framesSent;
--- a/modules/sardinehollow_gateway/sharing/SharedMirror.h
+++ b/modules/sardinehollow_gateway/sharing/SharedMirror.h
@@ -90,7 +90,7 @@
     void sendFollow(const std::string &relay);
     void sendFollows();
     void sendFrames();
-    /** Completes a frame for a follower that has no contents yet. */
+    /** Completes a frame for a follower that has no contents of the store's present history. */
     void addContents(sharing::FeedFrame &frame) const;
 
     const Settings m_settings;
--- a/modules/sardinehollow_platform/http/JsonClient.cpp
+++ b/modules/sardinehollow_platform/http/JsonClient.cpp
@@ -157,6 +157,7 @@
     core::HttpBodyReader reader(*connection, core::framingOf(head, request.getMethod()));
     JsonResponse response;
     response.status = head.getStatus();
+    response.headers = head;
     response.text = readBody(*connection, reader, deadline);
     if (!head.getKeepAlive()) {
         unregisterActive(*connection);
--- a/modules/sardinehollow_platform/http/JsonClient.h
+++ b/modules/sardinehollow_platform/http/JsonClient.h
@@ -5,6 +5,7 @@
 #include "sardinehollow_core/time/Instant.h"
 
 #include <Poco/JSON/Object.h>
+#include <Poco/Net/NameValueCollection.h>
 
 #include <chrono>
 #include <deque>
@@ -21,6 +22,7 @@
     int status = 0;
     Poco::JSON::Object::Ptr body;
     std::string text;
+    Poco::Net::NameValueCollection headers;
 };
 
 /**
--- a/modules/sardinehollow_platform/mirror/MirrorListener.h
+++ b/modules/sardinehollow_platform/mirror/MirrorListener.h
@@ -22,6 +22,11 @@
      * still to be reported.
      */
     virtual void onUpToDate() { }
+    /**
+     * Called when the store was restored from an older copy, before its contents are reported: what
+     * was written in between is missing until its writers write it again.
+     */
+    virtual void onStoreRestored() { }
     /** Called when the store cannot be read; the keys reported so far may be out of date. */
     virtual void onStoreLost(const core::Error &reason) = 0;
     /** Called when the store can be read again after onStoreLost(). */
--- a/modules/sardinehollow_platform/store/KeyValueStore.h
+++ b/modules/sardinehollow_platform/store/KeyValueStore.h
@@ -21,7 +21,8 @@
 
 /**
  * The platform's key-value store. Safe for concurrent use. Errors: Unreachable if the call cannot
- * have taken effect, ResultUnknown if it may have, Unavailable if the store refused it.
+ * have taken effect, ResultUnknown if it may have, Unavailable if the store refused it. Revisions
+ * grow also when the store is restored from an older copy; see StoreHistory.h.
  */
 class KeyValueStore
 {
--- a/modules/sardinehollow_sharing/feed/ChangeFeed.cpp
+++ b/modules/sardinehollow_sharing/feed/ChangeFeed.cpp
@@ -8,6 +8,13 @@
     : m_times(times)
 { }
 
+void ChangeFeed::reset(std::int64_t revision)
+{
+    m_history.reset(revision);
+    for (auto &[vm, follower] : m_followers)
+        follower.isFrameDue = true;
+}
+
 void ChangeFeed::append(const std::vector<platform::KeyValue> &changes, std::int64_t revision)
 {
     m_history.append(changes, revision);
--- a/modules/sardinehollow_sharing/feed/ChangeFeed.h
+++ b/modules/sardinehollow_sharing/feed/ChangeFeed.h
@@ -18,7 +18,7 @@
     explicit ChangeFeed(SharingTimes times);
 
     /** Starts anew after a read of all keys at a revision, whose changes are not known. */
-    void reset(std::int64_t revision) { m_history.reset(revision); }
+    void reset(std::int64_t revision);
     /** Adds changes of the store that this daemon has applied. */
     void append(const std::vector<platform::KeyValue> &changes, std::int64_t revision);
     /** Records that the daemon's contents are those that the store had at a time, or later. */
--- a/modules/sardinehollow_sharing/follower/StoreFollower.cpp
+++ b/modules/sardinehollow_sharing/follower/StoreFollower.cpp
@@ -1,5 +1,7 @@
 #include "sardinehollow_sharing/follower/StoreFollower.h"
 
+#include "sardinehollow_platform/store/StoreHistory.h"
+
 #include <algorithm>
 
 namespace sardinehollow::sharing {
@@ -32,9 +34,14 @@
 StoreFollower::Update StoreFollower::onFrame(const std::string &relay, const FeedFrame &frame)
 {
     Update update;
-    // Changes can only be applied to contents, and contents only be taken where there are none.
-    if (m_relays.count(relay) == 0 || (m_revision == 0) != frame.isSnapshot)
+    if (m_relays.count(relay) == 0)
         return update;
+    update.isRestored = m_revision > 0
+            && platform::historyOf(frame.revision) > platform::historyOf(m_revision);
+    // Changes can only be applied to contents, and contents only be taken where there are none, or
+    // none of the store's present history.
+    if ((m_revision == 0 || update.isRestored) != frame.isSnapshot)
+        return {};
     Relay &state = m_relayStates[relay];
     if (frame.isHistoryLost || !frame.changes) {
         state.currentAt = core::Instant {0};
--- a/modules/sardinehollow_sharing/follower/StoreFollower.h
+++ b/modules/sardinehollow_sharing/follower/StoreFollower.h
@@ -27,6 +27,8 @@
         bool hasRegained = false;
         /** The changes are all keys of the store. */
         bool isSnapshot = false;
+        /** The store was restored from an older copy since this daemon's revision. */
+        bool isRestored = false;
         /** Changes are missing between this daemon's revision and the frame. */
         bool hasGap = false;
     };
--- a/modules/sardinehollow_standin/platform/KvHandler.cpp
+++ b/modules/sardinehollow_standin/platform/KvHandler.cpp
@@ -121,6 +121,7 @@
     const std::string bytes = body.str();
     response.setStatusAndReason(static_cast<HTTPResponse::HTTPStatus>(answer.status));
     response.setContentType("application/json");
+    response.set("Store-Era", std::to_string(m_platform.store.restoreCount()));
     response.sendBuffer(bytes.data(), bytes.size());
 }
 
@@ -180,7 +181,8 @@
     const std::string prefix = query.at("prefix");
     const std::int64_t after = Poco::NumberParser::parse64(query.at("after"));
     std::chrono::milliseconds remainingWait(Poco::NumberParser::parse(query.at("waitMs")));
-    if (after + 1 < m_platform.store.compactRevision())
+    const bool isUnknown = after > m_platform.store.revision();
+    if (isUnknown || after + 1 < m_platform.store.compactRevision())
         return {HTTPResponse::HTTP_GONE, new Object};
     std::vector<StoreEvent> events;
     while (events.empty() && remainingWait.count() > 0 && !m_platform.stopping
--- a/modules/sardinehollow_standin/store/MemoryStore.cpp
+++ b/modules/sardinehollow_standin/store/MemoryStore.cpp
@@ -110,9 +110,18 @@
     m_leases.clear();
     m_history.clear();
     m_compactRevision = 0;
+    // Ids of leases are given out again as well.
+    m_nextLease = 1;
+    ++m_restoreCount;
     m_changed.notify_all();
 }
 
+std::int64_t MemoryStore::restoreCount()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_restoreCount;
+}
+
 std::int64_t MemoryStore::compactRevision()
 {
     const std::lock_guard lock(m_mutex);
--- a/modules/sardinehollow_standin/store/MemoryStore.h
+++ b/modules/sardinehollow_standin/store/MemoryStore.h
@@ -73,6 +73,8 @@
     Snapshot snapshot();
     /** Restores older data, which simulates a rollback; drops all leases and the history. */
     void restore(const Snapshot &snapshot);
+    /** Number of times that older data was restored. */
+    std::int64_t restoreCount();
     /** Oldest revision whose changes are retained; a watch from an earlier one is rejected. */
     std::int64_t compactRevision();
 
@@ -106,6 +108,7 @@
     std::int64_t m_revision = 1;
     std::int64_t m_compactRevision = 0;
     std::int64_t m_nextLease = 1;
+    std::int64_t m_restoreCount = 0;
 };
 
 } // namespace sardinehollow::standin
--- a/tests/sharing/StoreFollowerTest.cpp
+++ b/tests/sharing/StoreFollowerTest.cpp
@@ -1,4 +1,5 @@
 #include "sardinehollow_sharing/follower/StoreFollower.h"
+#include "sardinehollow_platform/store/StoreHistory.h"
 #include "sardinehollow_sharing/feed/ChangeFeed.h"
 
 #include <catch2/catch.hpp>
@@ -252,3 +253,25 @@
         }
     }));
 }
+
+// CONFIG: changes after a restore are no complete list of what differs from earlier contents.
+TEST_CASE("After a restore of the store, a follower takes only all contents")
+{
+    Following following;
+    const std::int64_t restored = platform::toRevision(1, 5);
+    const KeyValue key {"op/config", "v", restored};
+    FeedFrame frame = frameOf(10, restored, following.now, {key});
+    CHECK(following.follower.onFrame("r1", frame).changes.empty());
+    CHECK(following.follower.revision() == 10);
+    frame.isSnapshot = true;
+    const StoreFollower::Update update = following.follower.onFrame("r1", frame);
+    CHECK(update.isSnapshot);
+    CHECK(update.isRestored);
+    REQUIRE(update.changes.size() == 1);
+    CHECK(update.changes.front().key == key.key);
+    CHECK(following.follower.revision() == restored);
+    // Another relay that has not noticed yet.
+    const KeyValue late {"op/config", "old", 11};
+    CHECK(following.follower.onFrame("r2", frameOf(10, 11, following.now, {late})).changes.empty());
+    CHECK(following.follower.revision() == restored);
+}
