Ignore entries of servers that are older than what is known of them

Seen in a test: a store that was restored from an older copy says that a server is ready which has announced that it leaves, or has left. The entry put it back into the selection (DRAIN).

Change: of one start of a server, an entry with a lower sequence number is ignored, as is one of an earlier start, also if the server has been removed since. Entries without a start time are applied.

--- a/modules/sardinehollow_routing/backends/BackendRegistry.cpp
+++ b/modules/sardinehollow_routing/backends/BackendRegistry.cpp
@@ -27,6 +27,8 @@
 
 void BackendRegistry::put(const BackendServer &server, core::Instant now)
 {
+    if (isOutdated(server))
+        return;
     ++m_changeCount;
     const auto found = m_servers.find(server.id);
     if (found != m_servers.end() && isSameStart(found->second->server(), server)) {
@@ -45,6 +47,20 @@
     m_services[server.service].push_back(state);
 }
 
+bool BackendRegistry::isOutdated(const BackendServer &server) const
+{
+    const auto present = m_servers.find(server.id);
+    const auto removed = m_removedServers.find(server.id);
+    if (present == m_servers.end() && removed == m_removedServers.end())
+        return false;
+    const BackendState &state = present != m_servers.end() ? *present->second : *removed->second;
+    const BackendServer &last = state.server();
+    if (server.startedAt == 0 || last.startedAt == 0)
+        return false;
+    return server.startedAt < last.startedAt
+            || (server.startedAt == last.startedAt && server.sequence < last.sequence);
+}
+
 void BackendRegistry::remove(const std::string &id)
 {
     const auto found = m_servers.find(id);
--- a/modules/sardinehollow_routing/backends/BackendRegistry.h
+++ b/modules/sardinehollow_routing/backends/BackendRegistry.h
@@ -23,7 +23,11 @@
     explicit BackendRegistry(std::map<std::string, std::string> regions,
                              std::uint64_t daemonSeed = 0);
 
-    /** Adds or updates a server; a new incarnation under a known id replaces the previous one. */
+    /**
+     * Adds or updates a server; a new incarnation under a known id replaces the previous one. An
+     * entry that is older than a known one of the server is ignored: the store may have been
+     * restored from an older copy.
+     */
     void put(const BackendServer &server, core::Instant now);
     /** Removes a server that has left or died. */
     void remove(const std::string &id);
@@ -41,6 +45,8 @@
     bool isEvacuated(const std::string &failureDomain) const;
 
 private:
+    /** Whether a later entry of the server has been known, also if it has been removed since. */
+    bool isOutdated(const BackendServer &server) const;
     void detach(const BackendStatePtr &state);
     /**
      * Returns the state that a server had before its entry lapsed, updated by its new entry; null
--- a/modules/sardinehollow_routing/backends/BackendServer.h
+++ b/modules/sardinehollow_routing/backends/BackendServer.h
@@ -22,6 +22,8 @@
     std::chrono::nanoseconds coldFor {0};
     /** Unix time of its start, in milliseconds; 0 if unknown. */
     std::int64_t startedAt = 0;
+    /** Grows with the entries that one incarnation writes. */
+    std::int64_t sequence = 0;
 };
 
 } // namespace sardinehollow::routing
