Keep evacuations and members for a while after the store was restored

Seen in tests: a copy some seconds old lacks evacuations and entries that were written since. They counted as taken back or removed until their writers had written them again: an evacuated failure domain got requests, servers and daemons that live were left out. Only a mass expiry was bridged.

--- a/modules/sardinehollow_gateway/application/DelayedRemoval.cpp
+++ b/modules/sardinehollow_gateway/application/DelayedRemoval.cpp
@@ -22,7 +22,8 @@
     const core::Instant due = m_regainedAt + m_reappearanceTime;
     const bool isMassExpiry
             = static_cast<double>(removed) > massExpiryShare * static_cast<double>(known);
-    if (now >= due || !isMassExpiry)
+    const bool isRestored = now < m_restoredAt + m_reappearanceTime;
+    if (now >= due || !(isMassExpiry || isRestored))
         return keys;
     for (const std::string &key : keys)
         m_dueTimes.emplace(key, due);
--- a/modules/sardinehollow_gateway/application/DelayedRemoval.h
+++ b/modules/sardinehollow_gateway/application/DelayedRemoval.h
@@ -18,6 +18,13 @@
     explicit DelayedRemoval(core::Duration reappearanceTime);
 
     void onStoreRegained(core::Instant now) { m_regainedAt = now; }
+    /** The store was restored from an older copy, in which entries of living holders are missing.
+     */
+    void onStoreRestored(core::Instant now)
+    {
+        m_regainedAt = now;
+        m_restoredAt = now;
+    }
     /**
      * Takes the keys that are missing after one update from the store. The update removed that many
      * of the known keys, including those that it wrote again. Returns the keys to remove now; the
@@ -34,6 +41,8 @@
     const core::Duration m_reappearanceTime;
     /** Time of the last reconnection to the store; initially far in the past. */
     core::Instant m_regainedAt = -std::chrono::hours(1);
+    /** Time of the last restore; initially far in the past. */
+    core::Instant m_restoredAt = -std::chrono::hours(1);
     std::map<std::string, core::Instant> m_dueTimes;
 };
 
--- a/modules/sardinehollow_gateway/application/GatewayApplication.cpp
+++ b/modules/sardinehollow_gateway/application/GatewayApplication.cpp
@@ -52,7 +52,7 @@
     , m_pool(m_loop, protocol)
     , m_services {m_loop, protocol, m_routing, m_pool, m_metrics, m_log}
     , m_exchangeFactory(m_services)
-    , m_operatorTracker(m_services, schema)
+    , m_operatorTracker(m_services, schema, m_settings.reappearanceTime)
     , m_serverTracker(m_services, schema, m_settings.reappearanceTime)
     , m_entryTracker(m_services, m_settings.reappearanceTime + std::chrono::seconds(1))
 {
--- a/modules/sardinehollow_gateway/application/MemberTracker.cpp
+++ b/modules/sardinehollow_gateway/application/MemberTracker.cpp
@@ -74,6 +74,11 @@
 
 void MemberTracker::onStoreLost(const core::Error & /*reason*/) { }
 
+void MemberTracker::onStoreRestored()
+{
+    m_removals.onStoreRestored(m_services.loop.now());
+}
+
 void MemberTracker::onStoreRegained()
 {
     m_removals.onStoreRegained(m_services.loop.now());
--- a/modules/sardinehollow_gateway/application/MemberTracker.h
+++ b/modules/sardinehollow_gateway/application/MemberTracker.h
@@ -20,6 +20,7 @@
     void onChanged(const std::vector<platform::KeyValue> &keyValues) override;
     void onStoreLost(const core::Error &reason) override;
     void onStoreRegained() override;
+    void onStoreRestored() override;
 
     /** Removes members whose keys were not written again in time after an outage of the store. */
     void removeDue();
--- a/modules/sardinehollow_gateway/application/OperatorTracker.cpp
+++ b/modules/sardinehollow_gateway/application/OperatorTracker.cpp
@@ -2,26 +2,32 @@
 
 namespace sardinehollow::gateway {
 
-OperatorTracker::OperatorTracker(GatewayServices &services, const StoreSchema &schema)
+OperatorTracker::OperatorTracker(GatewayServices &services, const StoreSchema &schema,
+                                 core::Duration reappearanceTime)
     : m_services(services)
     , m_schema(schema)
+    , m_reappearanceTime(reappearanceTime)
 { }
 
+OperatorTracker::~OperatorTracker()
+{
+    m_services.loop.cancel(m_holdTimer);
+}
+
 void OperatorTracker::onSnapshot(const std::vector<platform::KeyValue> &keyValues)
 {
-    std::set<std::string> evacuated;
+    m_stored.clear();
     for (const platform::KeyValue &keyValue : keyValues) {
         if (keyValue.key == m_schema.configurationKey())
             applyConfiguration(keyValue);
         if (const auto failureDomain = m_schema.evacuatedDomain(keyValue.key))
-            evacuated.insert(*failureDomain);
+            m_stored.insert(*failureDomain);
     }
-    applyEvacuations(evacuated);
+    applyEvacuations();
 }
 
 void OperatorTracker::onChanged(const std::vector<platform::KeyValue> &keyValues)
 {
-    std::set<std::string> evacuated = m_evacuated;
     for (const platform::KeyValue &keyValue : keyValues) {
         if (keyValue.key == m_schema.configurationKey() && !keyValue.isDeleted)
             applyConfiguration(keyValue);
@@ -29,11 +35,11 @@
         if (!failureDomain)
             continue;
         if (keyValue.isDeleted)
-            evacuated.erase(*failureDomain);
+            m_stored.erase(*failureDomain);
         else
-            evacuated.insert(*failureDomain);
+            m_stored.insert(*failureDomain);
     }
-    applyEvacuations(evacuated);
+    applyEvacuations();
 }
 
 void OperatorTracker::applyConfiguration(const platform::KeyValue &keyValue)
@@ -56,14 +62,14 @@
                     .number("revision", keyValue.modRevision));
 }
 
-void OperatorTracker::applyEvacuations(const std::set<std::string> &failureDomains)
+void OperatorTracker::applyEvacuations()
 {
-    if (failureDomains == m_evacuated)
+    if (m_stored == m_evacuated || m_services.loop.now() < m_heldUntil)
         return;
-    m_evacuated = failureDomains;
-    m_services.routing.backends().setEvacuated(failureDomains);
+    m_evacuated = m_stored;
+    m_services.routing.backends().setEvacuated(m_evacuated);
     std::string names;
-    for (const std::string &name : failureDomains)
+    for (const std::string &name : m_evacuated)
         names += (names.empty() ? "" : " ") + name;
     m_services.log.write(logging::LogLine("evacuations-changed").text("failureDomains", names));
 }
@@ -73,6 +79,14 @@
     m_services.log.write(logging::LogLine("store-lost").text("error", reason.text()));
 }
 
+void OperatorTracker::onStoreRestored()
+{
+    m_services.log.write(logging::LogLine("store-restored"));
+    m_services.loop.cancel(m_holdTimer);
+    m_heldUntil = m_services.loop.now() + m_reappearanceTime;
+    m_holdTimer = m_services.loop.schedule(m_reappearanceTime, [this] { applyEvacuations(); });
+}
+
 void OperatorTracker::onStoreRegained()
 {
     m_services.log.write(logging::LogLine("store-regained"));
--- a/modules/sardinehollow_gateway/application/PrefixDispatcher.cpp
+++ b/modules/sardinehollow_gateway/application/PrefixDispatcher.cpp
@@ -43,6 +43,12 @@
         listener->onStoreLost(reason);
 }
 
+void PrefixDispatcher::onStoreRestored()
+{
+    for (const auto &[prefix, listener] : m_listeners)
+        listener->onStoreRestored();
+}
+
 void PrefixDispatcher::onStoreRegained()
 {
     for (const auto &[prefix, listener] : m_listeners)
--- a/modules/sardinehollow_gateway/application/PrefixDispatcher.h
+++ b/modules/sardinehollow_gateway/application/PrefixDispatcher.h
@@ -22,6 +22,7 @@
     void onChanged(const std::vector<platform::KeyValue> &keyValues) override;
     void onStoreLost(const core::Error &reason) override;
     void onStoreRegained() override;
+    void onStoreRestored() override;
 
 private:
     std::vector<std::pair<std::string, platform::MirrorListener *>> m_listeners;
--- a/tests/gateway/DelayedRemovalTest.cpp
+++ b/tests/gateway/DelayedRemovalTest.cpp
@@ -35,3 +35,17 @@
     CHECK(removals.onMissing({"left"}, 1, 10, now) == Keys {"left"});
     CHECK(removals.takeDue(now + 10s).empty());
 }
+
+// After a restore from an older copy, single entries that were written since were taken for gone.
+TEST_CASE("Entries that are missing from a restored store are kept for the reappearance time")
+{
+    DelayedRemoval removals(2s);
+    core::Instant now = 100s;
+    removals.onStoreRestored(now);
+    CHECK(removals.onMissing({"returns", "stays away"}, 2, 20, now).empty());
+    now += 1s;
+    removals.onPresent("returns");
+    now += 1s;
+    CHECK(removals.takeDue(now) == Keys {"stays away"});
+    CHECK(removals.onMissing({"left"}, 1, 10, now) == Keys {"left"});
+}
