--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -25,6 +25,9 @@
     """Chooses a fault by the random source alone, so that a seed repeats the schedule of faults."""
     factories = (backend_link, backend_link, store_link, reset_links, pause, kill, terminate,
                  send_hangup, crash_backend, drain_backend, configure, evacuate, store_fault)
+    # An option of its own, so that seeds of runs without it keep their schedules.
+    if system.restores_store:
+        factories += (restore_store, restore_store)
     return rng.choice(factories)(system, rng)
 
 
@@ -125,6 +128,22 @@
                  lambda: system.deployment.store.delete(f"op/evacuate/{domain}"))
 
 
+def restore_store(system, rng):
+    """Takes the store away and brings it back from a copy that is as old as the fault is long."""
+    def set_faults(**fields):
+        http_request(system.deployment.control_address, "/faults", "POST", {},
+                     json.dumps(fields).encode())
+
+    def restore():
+        set_faults(storeOutage=True)
+        set_faults(storeRestore=True)
+        set_faults(storeOutage=False)
+        system.write_again()
+
+    return Fault("restore store", rng.uniform(0.5, 3), lambda: set_faults(storeSnapshot=True),
+                 restore)
+
+
 def store_fault(system, rng):
     fields_on = rng.choice(
         ({"storeOutage": True}, {"storeDelayMs": 400}, {"storeLostReplies": 2}))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -39,8 +39,9 @@
 class SoakSystem:
     """The processes of one run, and the intervals in which daemons were stopped or killed."""
 
-    def __init__(self, build, seed):
+    def __init__(self, build, seed, restores_store=False):
         self.rng = random.Random(seed)
+        self.restores_store = restores_store
         self.deployment = PlatformDeployment(build, REGIONS)
         # Version of the newest configuration that the store has acknowledged.
         self.version = 0
@@ -111,6 +112,15 @@
         self.starts[name].append(time.monotonic())
         self.end_disturbance(name)
 
+    def write_again(self):
+        """Operators and servers write their keys again after the store was restored."""
+        self.configure(2.0)
+        for backend in self.backends:
+            if backend.server is not None:
+                backend.register()
+            else:
+                self.deployment.store.delete(f"servers/{backend.name}")
+
     def restart_backend(self, backend):
         if backend.server is not None:
             return
@@ -235,8 +245,8 @@
     return []
 
 
-def run(build, seed, seconds, keep):
-    system = SoakSystem(build, seed)
+def run(build, seed, seconds, keep, restores_store):
+    system = SoakSystem(build, seed, restores_store)
     try:
         callers = [Caller(number, seed, system) for number in range(CALLERS)]
         for caller in callers:
@@ -282,8 +292,10 @@
     parser.add_argument("--runs", type=int, default=1, help="number of consecutive seeds to run")
     parser.add_argument("--seconds", type=float, default=12, help="time with faults in each run")
     parser.add_argument("--keep", help="directory for the logs of runs that fail")
+    parser.add_argument("--restore-store", action="store_true",
+                        help="also restore the store from older copies")
     options = parser.parse_args()
-    results = [run(options.build, seed, options.seconds, options.keep)
+    results = [run(options.build, seed, options.seconds, options.keep, options.restore_store)
                for seed in range(options.seed, options.seed + options.runs)]
     print(f"{sum(results)} of {len(results)} seeds without a violation")
     return 0 if all(results) else 1
