--- a/tests/adapter/KvStoreTest.cpp
+++ b/tests/adapter/KvStoreTest.cpp
@@ -1,6 +1,7 @@
 #include "platform/KvStore.h"
 #include "adapter/GatewayFixture.h"
 #include "sardinehollow_core/encoding/Base64.h"
+#include "sardinehollow_platform/store/StoreHistory.h"
 #include "support/StandinFixture.h"
 
 #include <catch2/catch.hpp>
@@ -234,3 +235,17 @@
     adapter::KvStore nowhere("127.0.0.1:1");
     CHECK(nowhere.keepAliveLease(purpose, 1).error().kind == ErrorKind::Unreachable);
 }
+
+// A refusal without an era, such as that of a proxy, would make every daemon read all keys again.
+TEST_CASE("A response without an era does not end the history of a watch")
+{
+    tests::RawServer refusing([](const std::string &) {
+        return tests::RawServer::Reply {"HTTP/1.1 503 Busy\r\nContent-Length: 2\r\n\r\n{}"};
+    });
+    adapter::KvStore store(refusing.address());
+    RecordingListener listener;
+    const auto watch = store.watch(purpose, "w/", true, platform::toRevision(3, 5), listener);
+    CHECK(listener.waitForEnd().kind == ErrorKind::Unavailable);
+    REQUIRE_FALSE(refusing.heads().empty());
+    CHECK(refusing.heads().front().find("after=5&") != std::string::npos);
+}
