Log entries of servers that are ignored as older, instead of calling them ready

Found on reading the change again: the tracker logged 'server-ready' for an entry that the registry had ignored. Event 'server-entry-outdated'. No decision changes.

--- a/modules/sardinehollow_gateway/application/ServerTracker.cpp
+++ b/modules/sardinehollow_gateway/application/ServerTracker.cpp
@@ -30,7 +30,13 @@
     const auto found = known.find(id);
     const bool isNew = found == known.end();
     const bool wasDraining = !isNew && found->second->server().isDraining;
-    services().routing.backends().put(*server, services().loop.now());
+    if (!services().routing.backends().put(*server, services().loop.now())) {
+        services().log.write(logging::LogLine("server-entry-outdated")
+                                     .text("server", id)
+                                     .number("sequence", server->sequence)
+                                     .number("revision", keyValue.modRevision));
+        return true;
+    }
     if (!isNew && wasDraining == server->isDraining)
         return true;
     services().log.write(logging::LogLine(server->isDraining ? "server-draining" : "server-ready")
--- a/modules/sardinehollow_routing/backends/BackendRegistry.cpp
+++ b/modules/sardinehollow_routing/backends/BackendRegistry.cpp
@@ -25,15 +25,15 @@
     , m_daemonSeed(daemonSeed)
 { }
 
-void BackendRegistry::put(const BackendServer &server, core::Instant now)
+bool BackendRegistry::put(const BackendServer &server, core::Instant now)
 {
     if (isOutdated(server))
-        return;
+        return false;
     ++m_changeCount;
     const auto found = m_servers.find(server.id);
     if (found != m_servers.end() && isSameStart(found->second->server(), server)) {
         found->second->update(server, now);
-        return;
+        return true;
     }
     remove(server.id);
     BackendStatePtr state = takeRemoved(server, now);
@@ -45,6 +45,7 @@
     }
     m_servers[server.id] = state;
     m_services[server.service].push_back(state);
+    return true;
 }
 
 bool BackendRegistry::isOutdated(const BackendServer &server) const
--- a/modules/sardinehollow_routing/backends/BackendRegistry.h
+++ b/modules/sardinehollow_routing/backends/BackendRegistry.h
@@ -25,10 +25,10 @@
 
     /**
      * Adds or updates a server; a new incarnation under a known id replaces the previous one. An
-     * entry that is older than a known one of the server is ignored: the store may have been
-     * restored from an older copy.
+     * entry that is older than a known one of the server is ignored, since the store may have been
+     * restored from an older copy; returns false then.
      */
-    void put(const BackendServer &server, core::Instant now);
+    bool put(const BackendServer &server, core::Instant now);
     /** Removes a server that has left or died. */
     void remove(const std::string &id);
     bool contains(const std::string &id) const { return m_servers.count(id) > 0; }
