--- a/modules/sardinehollow_gateway/application/DelayedRemoval.h
+++ b/modules/sardinehollow_gateway/application/DelayedRemoval.h
@@ -18,8 +18,7 @@
     explicit DelayedRemoval(core::Duration reappearanceTime);
 
     void onStoreRegained(core::Instant now) { m_regainedAt = now; }
-    /** The store was restored from an older copy, in which entries of living holders are missing.
-     */
+    /** The store was restored from an older copy, which lacks entries of living holders. */
     void onStoreRestored(core::Instant now)
     {
         m_regainedAt = now;
--- a/tests/adapter/RestoredStoreTest.cpp
+++ b/tests/adapter/RestoredStoreTest.cpp
@@ -26,7 +26,7 @@
         fixture.put("other/key", "value");
 }
 
-/** Takes the store away, brings it back from an older copy and waits until the daemon knows. */
+/** Takes the store away and brings it back from an older copy. */
 void restore(GatewayFixture &fixture, const standin::MemoryStore::Snapshot &copy)
 {
     standin::PlatformState &platform = fixture.standin.platform();
