--- a/tests/adapter/DepartedCallerTest.cpp
+++ b/tests/adapter/DepartedCallerTest.cpp
@@ -9,115 +9,81 @@
 using tests::RawServer;
 using Reply = RawServer::Reply;
 
-namespace {
-
-Reply complete(const std::string &head)
-{
-    return {GatewayFixture::completeResponse(head, "body")};
-}
-
-/** Waits for the complete response to a request for a target. */
-void exchange(ExchangeFixture &fixture, const std::string &target)
-{
-    Poco::Net::StreamSocket socket = fixture.connect();
-    ExchangeFixture::sendRequest(socket, target, "Connection: close\r\n");
-    char buffer[4096];
-    while (socket.receiveBytes(buffer, sizeof buffer) > 0)
-        continue;
-}
-
-} // namespace
-
-// GONE: a busy daemon sent requests on whose callers' closes it had received, but not read yet.
+// Guards against requests that a busy daemon sends on although their callers' closes have arrived.
 TEST_CASE("A request whose caller has closed its connection is not sent to a server")
 {
-    enum class Close { Orderly, Reset };
     struct DepartureCase
     {
         const char *failure;
         /** Whether the caller's connection was accepted before the daemon fell behind. */
         bool isKnown;
-        bool hasMoreInput;
-        Close close;
+        std::size_t furtherBytes;
+        bool isReset;
     };
-    const DepartureCase item = GENERATE(
-            DepartureCase {"the close lies behind the request", true, false, Close::Orderly},
-            DepartureCase {"the connection waits to be accepted", false, false, Close::Orderly},
-            DepartureCase {"unread bytes hide the close", true, true, Close::Orderly},
-            DepartureCase {"a reset is not a close", false, false, Close::Reset});
+    const DepartureCase item
+            = GENERATE(DepartureCase {"the close lies behind the request", true, 0, false},
+                       DepartureCase {"the connection waits to be accepted", false, 0, false},
+                       DepartureCase {"unread bytes hide the close", true, 100 * 1024, false},
+                       DepartureCase {"a reset is not a close", false, 0, true});
     CAPTURE(item.failure);
-    RawServer server(complete);
+    RawServer server([](const std::string &head) {
+        return Reply {GatewayFixture::completeResponse(head, "body")};
+    });
     ExchangeFixture fixture;
-    fixture.addServer("one", server);
-    // A kept connection takes a request at once.
-    exchange(fixture, "/first");
+    fixture.addServer("one", server.address());
+    // The connections to the caller and to the server are kept.
+    Poco::Net::StreamSocket known = fixture.send(fixture.request("/first"));
+    char byte = 0;
+    known.receiveBytes(&byte, 1);
     REQUIRE(fixture.attempts() == 1);
-    Poco::Net::StreamSocket known = fixture.connect();
-    fixture.runIterations();
-    fixture.whileHeld([&] {
-        Poco::Net::StreamSocket socket = item.isKnown ? known : fixture.connect();
-        ExchangeFixture::sendRequest(socket, "/departed");
-        if (item.hasMoreInput) {
-            const std::string more(100 * 1024, 'x');
-            socket.sendBytes(more.data(), static_cast<int>(more.size()));
-        }
-        if (item.close == Close::Reset)
+    fixture.loopThread.whileHeld([&] {
+        Poco::Net::StreamSocket socket = item.isKnown ? known : fixture.send("");
+        fixture.write(socket, fixture.request("/departed") + std::string(item.furtherBytes, 'x'));
+        if (item.isReset)
             socket.setLinger(true, 0);
-        known = Poco::Net::StreamSocket();
         socket.close();
     });
+    fixture.settle();
     CHECK(fixture.attempts() == 1);
-    exchange(fixture, "/last");
+    CHECK(fixture.call("/last") == 200);
     CHECK(fixture.attempts() == 2);
 }
 
-// GONE: a retry was sent although the caller's close had arrived with the failure of the attempt.
+// Guards against a retry after the caller's close, which came with the failure of the attempt.
 TEST_CASE("An attempt that fails after the caller has closed its connection is not retried")
 {
-    std::promise<void> isReceived;
-    std::promise<void> mayClose;
-    std::promise<void> isClosing;
-    const auto breakFirst = [&](const std::string &head) {
-        if (head.find("/departed") == std::string::npos)
-            return complete(head);
-        isReceived.set_value();
-        mayClose.get_future().wait();
-        isClosing.set_value();
-        return Reply {"", true};
-    };
-    RawServer one(breakFirst);
-    RawServer two(breakFirst);
+    Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1:0"));
     ExchangeFixture fixture;
-    fixture.addServer("one", one);
-    fixture.addServer("two", two);
-    Poco::Net::StreamSocket socket = fixture.connect();
-    ExchangeFixture::sendRequest(socket, "/departed");
-    isReceived.get_future().wait();
-    fixture.whileHeld([&] {
-        mayClose.set_value();
-        isClosing.get_future().wait();
-        // The close of the server's connection follows on the server's thread.
-        std::this_thread::sleep_for(std::chrono::milliseconds(50));
-        socket.close();
+    fixture.addServer("one", server.address().toString());
+    fixture.addServer("two", server.address().toString());
+    Poco::Net::StreamSocket caller = fixture.send(fixture.request("/departed"));
+    Poco::Net::StreamSocket attempt = server.acceptConnection();
+    char byte = 0;
+    attempt.receiveBytes(&byte, 1);
+    fixture.loopThread.whileHeld([&] {
+        attempt.close();
+        caller.close();
     });
+    fixture.settle();
     CHECK(fixture.attempts() == 1);
 }
 
-// GONE: the caller of a paused connection left, and its server went on working.
+// Guards against work that goes on for a caller whose connection is not read.
 TEST_CASE("A caller's close ends its request also while reading from the caller is paused")
 {
     RawServer server([](const std::string &) { return Reply {"", false, true}; });
     ExchangeFixture fixture;
-    fixture.addServer("one", server);
-    Poco::Net::StreamSocket socket = fixture.connect();
-    ExchangeFixture::sendRequest(socket, "/departed");
-    fixture.runIterations();
+    fixture.addServer("one", server.address());
+    Poco::Net::StreamSocket socket = fixture.send(fixture.request("/departed"));
+    fixture.settle();
     REQUIRE(fixture.attempts() == 1);
     // A little more than the daemon buffers of pipelined requests.
-    const std::string more(72 * 1024, 'x');
-    socket.sendBytes(more.data(), static_cast<int>(more.size()));
-    fixture.runIterations();
+    fixture.write(socket, std::string(72 * 1024, 'x'));
+    fixture.settle();
     socket.close();
-    fixture.runIterations();
-    CHECK(fixture.outcomes(gateway::RequestOutcome::CallerLeft) == 1);
+    fixture.settle();
+    std::uint64_t departed = 0;
+    fixture.loopThread.run(
+            [&] { departed = fixture.metrics.outcomes(gateway::RequestOutcome::CallerLeft); });
+    CHECK(departed == 1);
 }
--- a/tests/adapter/ExchangeFixture.h
+++ b/tests/adapter/ExchangeFixture.h
@@ -1,134 +1,94 @@
 #pragma once
 
-#include "platform/PlatformProtocol.h"
-#include "sardinehollow_core/random/SeededRandom.h"
+#include "adapter/ServicesFixture.h"
 #include "sardinehollow_gateway/exchange/ExchangeFactory.h"
 #include "sardinehollow_network/loop/BootClock.h"
 #include "sardinehollow_network/server/ServerListener.h"
-#include "support/RawServer.h"
+#include "support/LoopThread.h"
 
 #include <Poco/Net/StreamSocket.h>
-#include <spdlog/sinks/null_sink.h>
 
-#include <functional>
-#include <future>
-#include <memory>
 #include <string>
-#include <thread>
 
 namespace sardinehollow::tests {
 
-/**
- * Serves callers on a loopback address by exchanges with RawServer instances, on a loop that a test
- * can hold for a while, as a busy daemon would.
- */
-class ExchangeFixture
+/** Serves callers on a loopback address by one idempotent route, on a loop that a test can hold. */
+class ExchangeFixture : private network::BootClock, public ServicesFixture
 {
 public:
     ExchangeFixture()
+        : ServicesFixture(static_cast<const network::BootClock &>(*this), settings())
     {
         routing::Route route;
-        route.name = "safe";
         route.host = "h.example";
         route.prefix = "/";
         route.isIdempotent = true;
         route.maximumAttempts = 3;
         route.timeout = std::chrono::seconds(60);
         route.services = {{"s", 1.0}};
-        routing::RoutingConfiguration configuration;
-        configuration.version = 1;
-        configuration.routes = {route};
-        state.adopt(configuration);
-        m_thread = std::thread([this] { m_loop.run(); });
+        loopThread.run([&] { routing.adopt({1, {route}, {}, {}}); });
     }
 
-    ~ExchangeFixture()
+    void addServer(const std::string &id, const std::string &address)
     {
-        m_loop.stop();
-        m_thread.join();
-    }
-
-    ExchangeFixture(const ExchangeFixture &) = delete;
-    ExchangeFixture &operator=(const ExchangeFixture &) = delete;
-
-    void addServer(const std::string &id, const RawServer &server)
-    {
-        run([&] {
-            routing::BackendServer entry;
-            entry.id = id;
-            entry.service = "s";
-            entry.address = server.address();
-            entry.failureDomain = "east-a";
-            entry.slots = 6;
-            entry.startedAt = 1;
-            state.backends().put(entry, m_loop.now());
+        loopThread.run([&] {
+            routing.backends().put({id, "s", address, "east-a", 6, false, {}, 1}, loop.now());
         });
     }
 
     void removeServer(const std::string &id)
     {
-        run([&] {
-            state.backends().remove(id);
-            state.quarantine().evaluate(m_loop.now());
-        });
+        loopThread.run([&] { routing.backends().remove(id); });
     }
 
-    /** Runs a function on the loop's thread and waits for it. */
-    void run(const std::function<void()> &task)
+    /** Number of crash reports of this daemon, by what is known now. */
+    std::size_t crashReports()
     {
-        std::promise<void> done;
-        m_loop.post([&] {
-            task();
-            done.set_value();
+        std::size_t count = 0;
+        loopThread.run([&] {
+            routing.quarantine().evaluate(loop.now());
+            count = routing.quarantine().reports().size();
         });
-        done.get_future().wait();
+        return count;
     }
 
-    /** Runs iterations of the loop, so that the events that have arrived are handled. */
-    void runIterations(int count = 20)
+    static std::string request(const std::string &target, const std::string &body = "",
+                               int deadlineMilliseconds = 60'000)
     {
-        for (int turn = 0; turn < count; ++turn)
-            run([] {});
+        return "POST " + target
+                + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: id\r\nContent-Length: "
+                + std::to_string(body.size())
+                + "\r\nDeadline-Ms: " + std::to_string(deadlineMilliseconds) + "\r\n\r\n" + body;
     }
 
-    /** Keeps the loop from handling events while the function runs on the calling thread. */
-    void whileHeld(const std::function<void()> &events)
+    static void write(Poco::Net::StreamSocket &socket, const std::string &bytes)
     {
-        std::promise<void> isHeld;
-        std::promise<void> isReleased;
-        m_loop.post([&] {
-            isHeld.set_value();
-            isReleased.get_future().wait();
-        });
-        isHeld.get_future().wait();
-        events();
-        isReleased.set_value();
-        runIterations();
+        socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
     }
 
-    Poco::Net::StreamSocket connect() const
+    /** Connects as a caller and sends bytes. */
+    Poco::Net::StreamSocket send(const std::string &bytes) const
     {
-        return Poco::Net::StreamSocket(m_listener.address());
+        Poco::Net::StreamSocket socket(m_listener.address());
+        write(socket, bytes);
+        return socket;
     }
 
-    static void sendRequest(Poco::Net::StreamSocket &socket, const std::string &target,
-                            const std::string &extraHeaders = "", int deadlineMilliseconds = 60'000)
+    /** Sends a request and returns the status of its response. */
+    int call(const std::string &target, int deadlineMilliseconds = 60'000) const
     {
-        const std::string text = "GET " + target
-                + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: id\r\nDeadline-Ms: "
-                + std::to_string(deadlineMilliseconds) + "\r\n" + extraHeaders + "\r\n";
-        socket.sendBytes(text.data(), static_cast<int>(text.size()));
+        Poco::Net::StreamSocket socket = send(request(target, "", deadlineMilliseconds));
+        std::string text;
+        char buffer[256];
+        while (text.find("\r\n\r\n") == std::string::npos)
+            text.append(buffer, static_cast<std::size_t>(socket.receiveBytes(buffer, 256)));
+        return std::stoi(text.substr(9, 3));
     }
 
+    /** Handles all events that have arrived. */
+    void settle() { loopThread.runIterations(100); }
     /** Number of attempts sent to servers so far. */
     std::uint64_t attempts() const { return pool.opened() + pool.reused(); }
-    std::uint64_t outcomes(gateway::RequestOutcome outcome)
-    {
-        std::uint64_t count = 0;
-        run([&] { count = metrics.outcomes(outcome); });
-        return count;
-    }
-    core::Instant now() const { return m_loop.now(); }
 
 private:
     static routing::RoutingSettings settings()
@@ -141,23 +101,12 @@
         return settings;
     }
 
-    network::BootClock m_clock;
-    network::EventLoop m_loop {m_clock};
-    core::SeededRandom m_random {7};
-    const adapter::PlatformProtocol m_protocol;
-    logging::EventLog m_log {std::make_shared<spdlog::sinks::null_sink_mt>()};
+    gateway::ExchangeFactory m_factory {services};
+    network::ServerListener m_listener {loop, "127.0.0.1:0", m_factory, [](const std::string &) {}};
 
 public:
-    routing::RoutingState state {settings(), m_random};
-    gateway::BackendPool pool {m_loop, m_protocol};
-    gateway::GatewayMetrics metrics;
-
-private:
-    gateway::GatewayServices m_services {m_loop, m_protocol, state, pool, metrics, m_log};
-    gateway::ExchangeFactory m_factory {m_services};
-    network::ServerListener m_listener {m_loop, "127.0.0.1:0", m_factory,
-                                        [](const std::string &) {}};
-    std::thread m_thread;
+    /** Declared last, so that the loop stops before what it serves is destroyed. */
+    LoopThread loopThread {loop};
 };
 
 } // namespace sardinehollow::tests
--- a/tests/adapter/ServerTrackerTest.cpp
+++ b/tests/adapter/ServerTrackerTest.cpp
@@ -1,11 +1,9 @@
 #include "sardinehollow_gateway/application/ServerTracker.h"
-#include "platform/PlatformProtocol.h"
+#include "adapter/ServicesFixture.h"
 #include "platform/PlatformSchema.h"
-#include "sardinehollow_core/random/SeededRandom.h"
 #include "sardinehollow_core/time/ManualClock.h"
 
 #include <catch2/catch.hpp>
-#include <spdlog/sinks/null_sink.h>
 
 using namespace sardinehollow;
 using namespace std::chrono_literals;
@@ -13,15 +11,10 @@
 
 namespace {
 
-struct TrackerFixture
+struct TrackerFixture : private core::ManualClock, public tests::ServicesFixture
 {
     TrackerFixture()
-        : loop(clock)
-        , routing({}, random)
-        , pool(loop, protocol)
-        , log(std::make_shared<spdlog::sinks::null_sink_mt>())
-        , services {loop, protocol, routing, pool, metrics, log}
-        , tracker(services, schema, 0ms)
+        : ServicesFixture(static_cast<const core::ManualClock &>(*this))
     { }
 
     static KeyValue entry(const std::string &id, const std::string &state = "ready")
@@ -42,17 +35,8 @@
 
     bool knows(const std::string &id) { return routing.backends().contains(id); }
 
-    core::ManualClock clock;
-    core::SeededRandom random {1};
-    network::EventLoop loop;
-    const adapter::PlatformProtocol protocol;
     const adapter::PlatformSchema schema;
-    routing::RoutingState routing;
-    gateway::BackendPool pool;
-    gateway::GatewayMetrics metrics;
-    logging::EventLog log;
-    gateway::GatewayServices services;
-    gateway::ServerTracker tracker;
+    gateway::ServerTracker tracker {services, schema, 0ms};
 };
 
 } // namespace
--- a/tests/network/ListenerTest.cpp
+++ b/tests/network/ListenerTest.cpp
@@ -66,15 +66,16 @@
     CHECK(tests::ServerFixture::readAll(socket).find("body") != std::string::npos);
 }
 
-// GONE: connections waited for one turn of the loop each, and were served after their callers had
-// left.
+// Guards against connections that wait for a turn of the loop each, until their callers have left.
 TEST_CASE("Connections that wait together are accepted in one turn of the loop")
 {
     tests::ServerFixture fixture("body", true);
     std::vector<Poco::Net::StreamSocket> sockets;
+    std::size_t accepted = 0;
     fixture.whileHeld([&] {
         for (int count = 0; count < 40; ++count)
             sockets.emplace_back(fixture.address());
+        fixture.countAtNextTurn(accepted);
     });
-    CHECK(fixture.connections() == sockets.size());
+    CHECK(accepted == sockets.size());
 }
--- a/tests/network/ServerFixture.h
+++ b/tests/network/ServerFixture.h
@@ -2,15 +2,14 @@
 
 #include "sardinehollow_core/time/MonotonicClock.h"
 #include "sardinehollow_network/server/ServerListener.h"
+#include "support/LoopThread.h"
 
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 
 #include <array>
 #include <atomic>
-#include <future>
 #include <string>
-#include <thread>
 
 namespace sardinehollow::tests {
 
@@ -34,15 +33,8 @@
         : m_body(std::move(body))
         , m_statesLength(statesLength)
         , m_listener(m_loop, "127.0.0.1:0", *this, [this](const std::string &) { ++m_failures; })
-        , m_thread([this] { m_loop.run(); })
     { }
 
-    ~ServerFixture() override
-    {
-        m_loop.stop();
-        m_thread.join();
-    }
-
     Poco::Net::SocketAddress address() const { return m_listener.address(); }
     /** Number of times that the listener reported an accept failure. */
     int failures() const { return m_failures; }
@@ -52,37 +44,23 @@
         m_clock.advance(step);
         runIterations(2);
     }
-    /** Returns after the loop has run the given number of iterations. */
-    void runIterations(int count)
-    {
-        for (int turn = 0; turn < count; ++turn) {
-            std::promise<void> done;
-            m_loop.post([&done] { done.set_value(); });
-            done.get_future().wait();
-        }
-    }
-    /** Keeps the loop from handling events while the function runs on the calling thread. */
-    template <typename Function>
-    void whileHeld(const Function &events)
+    void runIterations(int count) { m_loopThread.runIterations(count); }
+    void whileHeld(const std::function<void()> &events) { m_loopThread.whileHeld(events); }
+    /**
+     * Stores the number of open connections at the end of the loop's next turn. Within whileHeld()
+     * this is the turn after the hold.
+     */
+    void countAtNextTurn(std::size_t &connections)
     {
-        std::promise<void> isHeld;
-        std::promise<void> isReleased;
-        m_loop.post([&] {
-            isHeld.set_value();
-            isReleased.get_future().wait();
-        });
-        isHeld.get_future().wait();
-        events();
-        isReleased.set_value();
-        // The promises are in use until the task has returned.
-        runIterations(1);
+        m_loop.post([this, &connections] { connections = m_listener.connectionCount(); });
     }
     /** Open connections that the listener has accepted. */
     std::size_t connections()
     {
-        std::promise<std::size_t> count;
-        m_loop.post([&] { count.set_value(m_listener.connectionCount()); });
-        return count.get_future().get();
+        std::size_t count = 0;
+        countAtNextTurn(count);
+        runIterations(1);
+        return count;
     }
 
     std::shared_ptr<network::RequestHandler> make(network::ResponseSink &sink,
@@ -155,7 +133,7 @@
     SteppedClock m_clock;
     network::EventLoop m_loop {m_clock};
     network::ServerListener m_listener;
-    std::thread m_thread;
+    LoopThread m_loopThread {m_loop};
 };
 
 } // namespace sardinehollow::tests
