Keep stop and reload signals that arrive while the daemon starts

Cause: the handler passed a signal to the application, and dropped it as long as there was none. What a signal asks for now lives in ProcessRequests, which exists before main(); the application takes it in its first tick, before it is ready or in the store.

Evidence: a daemon that is held at its settings, when nothing but main() has run, lost SIGTERM, SIGINT and SIGHUP. That rules out that the start undoes a shutdown, or that a library swallows the signal.

Nothing else was tried.

--- a/apps/sardinehollowd_platform/Main.cpp
+++ b/apps/sardinehollowd_platform/Main.cpp
@@ -38,17 +38,15 @@
 // be known. The rest covers the store's response time, one repeated call and requests in transit.
 constexpr double watchPauseFraction = 0.5;
 
-// A signal handler takes no context argument, so the only daemon of the process is global.
-GatewayApplication *runningApplication = nullptr;
+// Global, because a signal handler takes no context argument.
+constinit sardinehollow::gateway::ProcessRequests processRequests;
 
 void handleSignal(int signal)
 {
-    if (!runningApplication)
-        return;
     if (signal == SIGHUP)
-        runningApplication->requestReload();
+        processRequests.requestReload();
     else
-        runningApplication->requestStop();
+        processRequests.requestStop();
 }
 
 ExitCode serve(const sardinehollow::gateway::GatewaySettings &settings)
@@ -60,10 +58,8 @@
                                                   settings.maxStoreDelay * watchPauseFraction));
     const auto sink = std::make_shared<sardinehollow::logging::NonBlockingSink>(STDOUT_FILENO);
     try {
-        GatewayApplication application(settings, protocol, schema, store, sink);
-        runningApplication = &application;
+        GatewayApplication application(settings, protocol, schema, store, processRequests, sink);
         application.run();
-        runningApplication = nullptr;
     } catch (const Poco::Exception &exception) {
         std::cerr << "cannot start: " << exception.displayText()
                   << "; check that the addresses of the settings are free and local\n";
--- a/modules/sardinehollow_gateway/application/GatewayApplication.cpp
+++ b/modules/sardinehollow_gateway/application/GatewayApplication.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-// Interval for checking signals, due removals, idle connections and crash reports.
+// Interval for checking requests of signals, due removals, idle connections and crash reports.
 constexpr core::Duration tickInterval = std::chrono::milliseconds(100);
 // Delay of a tick above which the event loop is reported as late.
 constexpr core::Duration reportedLoopDelay = std::chrono::milliseconds(250);
@@ -41,10 +41,11 @@
 
 GatewayApplication::GatewayApplication(GatewaySettings settings, const WireProtocol &protocol,
                                        const StoreSchema &schema, platform::KeyValueStore &store,
-                                       spdlog::sink_ptr logSink)
+                                       ProcessRequests &requests, spdlog::sink_ptr logSink)
     : m_settings(std::move(settings))
     , m_protocol(protocol)
     , m_store(store)
+    , m_requests(requests)
     , m_random(seedOf(m_settings, "requests"))
     , m_loop(m_clock)
     , m_log(std::move(logSink))
@@ -118,20 +119,10 @@
     m_log.flush();
 }
 
-void GatewayApplication::requestStop()
-{
-    m_stopRequested = true;
-}
-
-void GatewayApplication::requestReload()
-{
-    m_reloadRequested = true;
-}
-
 void GatewayApplication::onTick()
 {
     reportLoopDelay();
-    checkSignals();
+    checkRequests();
     m_serverTracker.removeDue();
     m_entryTracker.removeDue();
     m_pool.prune();
@@ -197,12 +188,12 @@
     });
 }
 
-void GatewayApplication::checkSignals()
+void GatewayApplication::checkRequests()
 {
-    if (m_reloadRequested.exchange(false))
+    if (m_requests.takeReload())
         m_log.write(logging::LogLine("reload").text(
                 "detail", "settings are read at startup only; restart the daemon to apply them"));
-    if (m_stopRequested.exchange(false) && m_stoppingSince.count() == 0)
+    if (m_requests.takeStop() && m_stoppingSince.count() == 0)
         beginStop();
 }
 
--- a/modules/sardinehollow_gateway/application/GatewayApplication.h
+++ b/modules/sardinehollow_gateway/application/GatewayApplication.h
@@ -5,6 +5,7 @@
 #include "sardinehollow_gateway/application/GatewaySettings.h"
 #include "sardinehollow_gateway/application/OperatorTracker.h"
 #include "sardinehollow_gateway/application/PrefixDispatcher.h"
+#include "sardinehollow_gateway/application/ProcessRequests.h"
 #include "sardinehollow_gateway/application/ServerTracker.h"
 #include "sardinehollow_gateway/application/StoreSchema.h"
 #include "sardinehollow_gateway/exchange/ExchangeFactory.h"
@@ -26,15 +27,11 @@
     /** Throws Poco::Exception if a listener cannot be bound to an address of the settings. */
     GatewayApplication(GatewaySettings settings, const WireProtocol &protocol,
                        const StoreSchema &schema, platform::KeyValueStore &store,
-                       spdlog::sink_ptr logSink);
+                       ProcessRequests &requests, spdlog::sink_ptr logSink);
     ~GatewayApplication();
 
-    /** Runs the event loop until a shutdown started by requestStop() has completed. */
+    /** Runs the event loop until a requested stop has completed. */
     void run();
-    /** Starts a graceful shutdown; may be called from a signal handler. */
-    void requestStop();
-    /** Logs that settings are read at startup only; may be called from a signal handler. */
-    void requestReload();
 
 private:
     void startListeners();
@@ -49,7 +46,8 @@
     /** Writes the entry that directs callers here. */
     void publishEntry();
     void onRenewalFailed(const core::Error &error);
-    void checkSignals();
+    /** Begins a requested stop; answers a requested reload by a log line. */
+    void checkRequests();
     /** Announces the shutdown: removes the daemon's entry, so that callers use other daemons. */
     void beginStop();
     /** Closes idle connections, refuses new requests towards the end, and stops the loop. */
@@ -62,6 +60,7 @@
     const GatewaySettings m_settings;
     const WireProtocol &m_protocol;
     platform::KeyValueStore &m_store;
+    ProcessRequests &m_requests;
     network::BootClock m_clock;
     core::SeededRandom m_random;
     network::EventLoop m_loop;
@@ -81,8 +80,6 @@
     PrefixDispatcher m_dispatcher;
     std::unique_ptr<SharedMirror> m_mirror;
     std::unique_ptr<platform::LeasedKey> m_ownEntry;
-    std::atomic<bool> m_stopRequested {false};
-    std::atomic<bool> m_reloadRequested {false};
     core::Instant m_stoppingSince {0};
     std::uint64_t m_publishedReportCount = 0;
     core::Instant m_reportsPublishedAt {0};
--- a/scripts/platform_deployment.py
+++ b/scripts/platform_deployment.py
@@ -278,6 +278,30 @@
 
         A name that was added before keeps its addresses: the daemon is restarted.
         """
+        text = self.settings_text(name, failure_domain, store_address)
+        with open(self.path(f"{name}.json"), "w", encoding="utf-8") as file:
+            file.write(text)
+        self.start_daemon(name)
+
+    def add_held_daemon(self, name, failure_domain):
+        """Starts a daemon and returns once it waits for its settings; calling the result sends them."""
+        text = self.settings_text(name, failure_domain)
+        os.mkfifo(self.path(f"{name}.json"))
+        self.start_daemon(name)
+        # Opening blocks until the daemon has opened the other end.
+        settings = open(self.path(f"{name}.json"), "w", encoding="utf-8")
+
+        def release():
+            with settings:
+                settings.write(text)
+
+        return release
+
+    def start_daemon(self, name):
+        self.start_process(name, [os.path.join(self.build, "apps", "sardinehollowd-platform"),
+                                  "--config", self.path(f"{name}.json")])
+
+    def settings_text(self, name, failure_domain, store_address=None):
         host = ADDRESS.split(".")
         host[1] = str(FIRST_DAEMON_OCTET + len(self.daemons))
         host = ".".join(host)
@@ -303,10 +327,7 @@
             text = file.read()
         for field, value in values.items():
             text = text.replace("{{" + field + "}}", value)
-        with open(self.path(f"{name}.json"), "w", encoding="utf-8") as file:
-            file.write(text)
-        self.start_process(name, [os.path.join(self.build, "apps", "sardinehollowd-platform"),
-                                  "--config", self.path(f"{name}.json")])
+        return text
 
     def is_ready(self, name):
         try:
--- a/tests/adapter/GatewayContractTest.cpp
+++ b/tests/adapter/GatewayContractTest.cpp
@@ -457,7 +457,7 @@
     fixture.putServer("one", server);
     fixture.start();
     fixture.waitForServers();
-    fixture.application->requestStop();
+    fixture.processRequests.requestStop();
     while (GatewayFixture::get(fixture.settings.readinessAddress, "/sardinehollow/ready").status
            == 200)
         std::this_thread::sleep_for(10ms);
@@ -477,7 +477,7 @@
     fixture.putServer("one", server);
     fixture.start();
     fixture.waitForServers();
-    fixture.application->requestStop();
+    fixture.processRequests.requestStop();
     while (GatewayFixture::get(fixture.settings.readinessAddress, "/sardinehollow/ready").status
            == 200)
         std::this_thread::sleep_for(10ms);
--- a/tests/adapter/GatewayFixture.h
+++ b/tests/adapter/GatewayFixture.h
@@ -41,8 +41,7 @@
 
     ~GatewayFixture()
     {
-        if (application)
-            application->requestStop();
+        processRequests.requestStop();
         if (m_thread.joinable())
             m_thread.join();
     }
@@ -92,7 +91,7 @@
     void start()
     {
         application = std::make_unique<gateway::GatewayApplication>(
-                settings, protocol, schema, store,
+                settings, protocol, schema, store, processRequests,
                 std::make_shared<spdlog::sinks::ostream_sink_mt>(log));
         m_thread = std::thread([this] { application->run(); });
         while (get(settings.readinessAddress, "/sardinehollow/ready").status != 200)
@@ -175,6 +174,7 @@
     const adapter::PlatformProtocol protocol;
     const adapter::PlatformSchema schema;
     std::ostringstream log;
+    gateway::ProcessRequests processRequests;
     std::unique_ptr<gateway::GatewayApplication> application;
 
 private:
--- a/tests/processes/platform_contract.py
+++ b/tests/processes/platform_contract.py
@@ -119,6 +119,28 @@
         self.deployment.wait_until(lambda: not self.deployment.is_ready("vm-leaving"))
         self.assertEqual(process.wait(timeout=10), 0)
 
+    def test_signals_during_the_start_are_obeyed(self):
+        """Guards against a stop that is lost while a daemon starts, until a kill cuts its requests.
+
+        A daemon waits for its settings, so that its application does not exist yet.
+        """
+        for number, signals in enumerate([[signal.SIGTERM], [signal.SIGINT],
+                                          [signal.SIGHUP, signal.SIGTERM]]):
+            with self.subTest(signals=signals):
+                name = f"vm-starting-{number}"
+                release_settings = self.deployment.add_held_daemon(name, "east-a")
+                process = self.deployment.processes[name]
+                for each in signals:
+                    process.send_signal(each)
+                release_settings()
+                self.deployment.wait_until(
+                    lambda: process.poll() is not None or self.deployment.is_ready(name))
+                self.assertEqual(process.poll(), 0, "the daemon became ready")
+                with open(self.deployment.path(f"{name}.log"), encoding="utf-8") as file:
+                    events = [json.loads(line)["event"] for line in file]
+                self.assertNotIn("ready", events)
+                self.assertEqual(events.count("reload"), signals.count(signal.SIGHUP))
+
 
 if __name__ == "__main__":
     unittest.main()
