End a streamed response at the request's timeout

Cause: the timer fires, and Exchange::onTimeout() returned while a response is streamed, since 504 can no longer be sent. Now the response is cut there, as one is whose server breaks off: attempt reset, caller's connection closed without the end of the body, outcome response-cut.

--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -457,6 +457,12 @@
     deliver();
 }
 
+void Exchange::cutResponse(const std::string &detail)
+{
+    m_sink.abortResponse();
+    finish(RequestOutcome::ResponseCut, m_response->getStatus(), detail);
+}
+
 void Exchange::recordServerAnswer()
 {
     m_server->onSuccess();
@@ -490,8 +496,7 @@
         m_services.routing.quarantine().onConnectionLost(m_requestHash, m_server,
                                                          m_services.loop.now());
     if (m_isStreaming) {
-        m_sink.abortResponse();
-        finish(RequestOutcome::ResponseCut, m_response->getStatus(), detail);
+        cutResponse(detail);
         return;
     }
     if (failure != network::AttemptFailure::InvalidResponse)
@@ -557,10 +562,12 @@
 
 void Exchange::onTimeout()
 {
-    if (m_isStreaming)
-        return;
     const bool wasSent = m_attempts > 0;
     abandonAttempt();
+    if (m_isStreaming) {
+        cutResponse("the response did not end within the timeout");
+        return;
+    }
     if (!wasSent && !m_isBodyWhole) {
         refuse(RequestOutcome::RequestTimeout,
                "the request body did not arrive within the timeout");
--- a/modules/sardinehollow_gateway/exchange/Exchange.h
+++ b/modules/sardinehollow_gateway/exchange/Exchange.h
@@ -63,6 +63,8 @@
     /** Returns the start of a log line about the server. */
     logging::LogLine serverLine(std::string_view event) const;
     void startStreaming();
+    /** Ends a streamed response so that it does not appear complete. */
+    void cutResponse(const std::string &detail);
     /** Records a complete response, which clears the server's failures and the request's reports.
      */
     void recordServerAnswer();
--- a/tests/adapter/DepartedCallerTest.cpp
+++ b/tests/adapter/DepartedCallerTest.cpp
@@ -82,8 +82,5 @@
     fixture.settle();
     socket.close();
     fixture.settle();
-    std::uint64_t departed = 0;
-    fixture.loopThread.run(
-            [&] { departed = fixture.metrics.outcomes(gateway::RequestOutcome::CallerLeft); });
-    CHECK(departed == 1);
+    CHECK(fixture.outcomes(gateway::RequestOutcome::CallerLeft) == 1);
 }
--- a/tests/adapter/ExchangeFixture.h
+++ b/tests/adapter/ExchangeFixture.h
@@ -2,8 +2,8 @@
 
 #include "adapter/ServicesFixture.h"
 #include "sardinehollow_gateway/exchange/ExchangeFactory.h"
-#include "sardinehollow_network/loop/BootClock.h"
 #include "sardinehollow_network/server/ServerListener.h"
+#include "support/AdvancingClock.h"
 #include "support/LoopThread.h"
 
 #include <Poco/Net/StreamSocket.h>
@@ -13,11 +13,11 @@
 namespace sardinehollow::tests {
 
 /** Serves callers on a loopback address by one idempotent route, on a loop that a test can hold. */
-class ExchangeFixture : private network::BootClock, public ServicesFixture
+class ExchangeFixture : private AdvancingClock, public ServicesFixture
 {
 public:
     ExchangeFixture()
-        : ServicesFixture(static_cast<const network::BootClock &>(*this), settings())
+        : ServicesFixture(static_cast<const AdvancingClock &>(*this), settings())
     {
         routing::Route route;
         route.host = "h.example";
@@ -87,6 +87,19 @@
 
     /** Handles all events that have arrived. */
     void settle() { loopThread.runIterations(100); }
+    /** Advances the clock, and handles all events and the timers that have expired. */
+    void advance(core::Duration step)
+    {
+        AdvancingClock::advance(step);
+        settle();
+    }
+    /** Number of requests that ended in a way so far. */
+    std::uint64_t outcomes(gateway::RequestOutcome outcome)
+    {
+        std::uint64_t count = 0;
+        loopThread.run([&] { count = metrics.outcomes(outcome); });
+        return count;
+    }
     /** Number of attempts sent to servers so far. */
     std::uint64_t attempts() const { return pool.opened() + pool.reused(); }
 
