Drop sent bytes from output buffers while others wait

Report of other operators: a machine kept all bytes of a response without end. Here a connection's output buffer kept what it had sent until it was empty. A caller that reads as fast as bytes are added never lets it become empty, and the buffer grew with all that was sent. Sent bytes are now dropped as soon as they are half of the buffer, and an empty buffer gives its memory back.

--- a/modules/sardinehollow_network/connection/BufferedConnection.cpp
+++ b/modules/sardinehollow_network/connection/BufferedConnection.cpp
@@ -14,6 +14,14 @@
 namespace {
 
 constexpr std::size_t readBufferBytes = 64 * 1024;
+// Memory that an empty buffer keeps for the next message.
+constexpr std::size_t maxIdleCapacity = 4 * 1024;
+
+void releaseIfEmpty(std::string &buffer)
+{
+    if (buffer.empty() && buffer.capacity() > maxIdleCapacity)
+        std::string().swap(buffer);
+}
 
 } // namespace
 
@@ -137,6 +145,7 @@
         return;
     }
     onInput();
+    releaseIfEmpty(m_input);
 }
 
 void BufferedConnection::onWritable()
@@ -180,9 +189,11 @@
         m_sentBytes += static_cast<std::size_t>(count);
     }
     const bool isDrained = unsentBytes() == 0;
-    if (isDrained) {
-        m_output.clear();
+    // A peer that reads as fast as bytes are added may never drain the buffer.
+    if (m_sentBytes >= unsentBytes()) {
+        m_output.erase(0, m_sentBytes);
         m_sentBytes = 0;
+        releaseIfEmpty(m_output);
     }
     if (m_isWriting == isDrained) {
         m_isWriting = !isDrained;
--- a/modules/sardinehollow_network/connection/BufferedConnection.h
+++ b/modules/sardinehollow_network/connection/BufferedConnection.h
@@ -35,6 +35,8 @@
     /** Appends to the output buffer and sends as much as the socket accepts. */
     void send(std::string_view bytes);
     std::size_t unsentBytes() const { return m_output.size() - m_sentBytes; }
+    /** Bytes that the output buffer holds, with those that were sent and not dropped yet. */
+    std::size_t outputBytes() const { return m_output.size(); }
     bool isOpen() const { return m_isOpen; }
     bool isConnected() const { return m_isConnected; }
     /** Whether the connection is open at both ends and has no unread input. */
