Answer queries only as fast as the peer reads the answers

Found while the output buffers were searched: the listeners for readiness, directory and metrics answered every query that arrived, whether its answers were read or not, so that one peer could make a daemon hold answers without a bound. Queries are now read only while at most 64 KiB of answers are unsent, and go on once they have been sent.

QueryListenerTest failed before: 1,000 queries of a peer that reads nothing, 100 MB of answers held. It passes now, and all 1,000 are answered once the peer reads.

--- a/modules/sardinehollow_network/server/QueryConnection.cpp
+++ b/modules/sardinehollow_network/server/QueryConnection.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::size_t maxHeadBytes = 16 * 1024;
+// Unsent bytes of answers above which no more queries are read.
+constexpr std::size_t maxUnsentBytes = 64 * 1024;
 constexpr core::Duration idleTimeout = std::chrono::seconds(30);
 
 } // namespace
@@ -38,7 +40,27 @@
 void QueryConnection::onInput()
 {
     armTimer();
+    answerQueries();
+}
+
+void QueryConnection::onDrained()
+{
+    if (!m_isPaused)
+        return;
+    m_isPaused = false;
+    setReading(true);
+    armTimer();
+    answerQueries();
+}
+
+void QueryConnection::answerQueries()
+{
     while (isOpen() && !input().empty()) {
+        if (unsentBytes() > maxUnsentBytes) {
+            m_isPaused = true;
+            setReading(false);
+            return;
+        }
         Poco::Net::HTTPRequest request;
         const HeadStatus status = m_headReader.read(input(), maxHeadBytes, request);
         if (status == HeadStatus::Incomplete)
--- a/modules/sardinehollow_network/server/QueryConnection.h
+++ b/modules/sardinehollow_network/server/QueryConnection.h
@@ -16,9 +16,12 @@
 
 protected:
     void onInput() override;
+    void onDrained() override;
     void onClosed(const std::string &reason) override;
 
 private:
+    /** Answers the queries that have arrived, unless the peer does not read the answers. */
+    void answerQueries();
     void answer(const Poco::Net::HTTPRequest &request);
     void armTimer();
     void end();
@@ -26,6 +29,8 @@
     QueryListener &m_listener;
     HeadReader m_headReader;
     EventLoop::Timer m_timer;
+    /** Whether reading waits until the peer has read the answers. */
+    bool m_isPaused = false;
     bool m_isEnded = false;
 };
 
