Bound the memory for responses of all open requests together

Report of other operators: a machine kept what a faulty server sent without end, ran out of memory, and the requests of its other callers ended with it.

Cause: each request stayed within its bounds, 512 KiB held back and 256 KiB unsent, but nothing bounded their sum; a buffer that had been emptied kept its memory. ResponseBudget counts what is held for all open requests. Above 32 MB a response is passed on from 16 KiB on, and read only while its caller has taken all that was read. Below that nothing changes.

--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -19,6 +19,8 @@
 // Responses up to this size are buffered before they are delivered, so that a truncated one leads
 // to a retry or an error response, not to a truncated response for the caller.
 constexpr std::size_t maximumBufferedResponseBytes = 512 * 1024;
+// The same while the daemon's ResponseBudget is exceeded.
+constexpr std::size_t reducedBufferedResponseBytes = 16 * 1024;
 // A response that is not delivered is read up to this size: the server did not run the request or
 // did not sign the response, or callers would take the status for a statement that it did not run.
 constexpr std::size_t maximumUndeliverableBytes = 64 * 1024;
@@ -115,6 +117,7 @@
     , m_caller(sink.peerHost())
     , m_startedAt(services.loop.now())
     , m_retryAfter(minimumRetryAfter)
+    , m_heldBytes(services.responseBudget)
 { }
 
 Exchange::~Exchange()
@@ -323,6 +326,7 @@
     m_responseFields = m_services.protocol.readBackendResponse(response);
     m_hasKnownLength = hasKnownLength;
     m_responseBody.clear();
+    m_heldBytes.set(0);
     applyServerState();
 }
 
@@ -378,14 +382,16 @@
 {
     if (m_isStreaming) {
         m_sink.sendPart(bytes);
-        if (m_backend && m_sink.unsentResponseBytes() > maximumUnsentBytes)
-            m_backend->setReading(false);
+        limitUnsentBytes();
         return;
     }
     m_responseBody += bytes;
+    m_heldBytes.set(m_responseBody.size());
     const bool isDeliverable = m_responseFields.isSigned && !m_responseFields.didNotRun
             && !m_responseFields.hasNotRunStatus;
-    if (isDeliverable && m_responseBody.size() > maximumBufferedResponseBytes) {
+    const std::size_t limit = m_services.responseBudget.isExceeded() ? reducedBufferedResponseBytes
+                                                                     : maximumBufferedResponseBytes;
+    if (isDeliverable && m_responseBody.size() > limit) {
         startStreaming();
     } else if (!isDeliverable && m_responseBody.size() > maximumUndeliverableBytes) {
         cancelBackendRequest();
@@ -405,11 +411,24 @@
         response.set("Content-Length", length);
     m_sink.startResponse(response);
     m_sink.sendPart(m_responseBody);
-    m_responseBody.clear();
+    // clear() would keep the memory.
+    std::string().swap(m_responseBody);
+    limitUnsentBytes();
+}
+
+void Exchange::limitUnsentBytes()
+{
+    const std::size_t unsentBytes = m_sink.unsentResponseBytes();
+    m_heldBytes.set(unsentBytes);
+    const std::size_t limit = m_services.responseBudget.isExceeded() ? 0 : maximumUnsentBytes;
+    if (m_backend && unsentBytes > limit)
+        m_backend->setReading(false);
 }
 
 void Exchange::onResponseDrained()
 {
+    if (m_isStreaming)
+        m_heldBytes.set(0);
     if (m_backend)
         m_backend->setReading(true);
 }
@@ -600,6 +619,7 @@
     if (m_isFinished)
         return;
     m_isFinished = true;
+    m_heldBytes.set(0);
     m_services.loop.cancel(m_timer);
     const core::Instant now = m_services.loop.now();
     m_services.metrics.countOutcome(outcome);
--- a/modules/sardinehollow_gateway/exchange/Exchange.h
+++ b/modules/sardinehollow_gateway/exchange/Exchange.h
@@ -63,6 +63,8 @@
     /** Returns the start of a log line about the server. */
     logging::LogLine serverLine(std::string_view event) const;
     void startStreaming();
+    /** Stops reading the response while its caller does not take what was read. */
+    void limitUnsentBytes();
     /** Ends a streamed response so that it does not appear complete. */
     void cutResponse(const std::string &detail);
     /** Records a complete response, which clears the server's failures and the request's reports.
@@ -119,6 +121,8 @@
     bool m_hasKnownLength = false;
     std::string m_responseBody;
     bool m_isStreaming = false;
+    /** Bytes of the response that are held back or not sent yet. */
+    ResponseBudget::Share m_heldBytes;
 };
 
 } // namespace sardinehollow::gateway
--- a/modules/sardinehollow_gateway/exchange/GatewayServices.h
+++ b/modules/sardinehollow_gateway/exchange/GatewayServices.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sardinehollow_gateway/backend/BackendPool.h"
+#include "sardinehollow_gateway/exchange/ResponseBudget.h"
 #include "sardinehollow_gateway/exchange/WireProtocol.h"
 #include "sardinehollow_gateway/status/GatewayMetrics.h"
 #include "sardinehollow_logging/EventLog.h"
@@ -9,6 +10,9 @@
 
 namespace sardinehollow::gateway {
 
+/** Default limit of ResponseBudget, in bytes: an eighth of the memory of the smallest VMs. */
+inline constexpr std::size_t responseBudgetBytes = 32 * 1024 * 1024;
+
 /** Shared services for handling requests; they live as long as the daemon. */
 struct GatewayServices
 {
@@ -18,6 +22,7 @@
     BackendPool &pool;
     GatewayMetrics &metrics;
     logging::EventLog &log;
+    ResponseBudget responseBudget {responseBudgetBytes};
     /** Graceful shutdown has begun: connections are closed after the next response. */
     bool isLeaving = false;
     /** When a daemon that is leaving ends its open connections. */
--- a/scripts/platform_deployment.py
+++ b/scripts/platform_deployment.py
@@ -343,6 +343,13 @@
                 return float(line.split()[1])
         return None
 
+    def labelled_metric(self, name, metric):
+        """Returns the values of a daemon's metric by their labels."""
+        text = call(self.daemons[name]["metrics"], "/metrics", timeout=2)[2].decode()
+        prefix = f"sardinehollow_{metric}{{"
+        return {line[len(prefix):line.index("}")]: float(line.split()[-1])
+                for line in text.splitlines() if line.startswith(prefix)}
+
     def run_ctl(self, *arguments):
         result = subprocess.run([os.path.join(self.build, "apps", "sardinehollowctl"), *arguments],
                                 text=True, capture_output=True, check=False)
