Ask nothing more of a connection on which sending has failed

Seen by the review, by no caller: if a response can't be sent since its caller has reset the connection, finishResponse() deferred a task behind the one that destroys the connection, and used freed memory. A response that ends on a closed connection now asks for nothing more.

DepartedCallerTest has a case that brings response and reset into one turn. Without the change valgrind reports an invalid read inside a freed block, with it the case is clean; without valgrind it passes on both. The asan preset doesn't compile on this machine (a warning about std::regex in GCC 12's headers).

--- a/modules/sardinehollow_network/server/ServerConnection.cpp
+++ b/modules/sardinehollow_network/server/ServerConnection.cpp
@@ -222,6 +222,9 @@
     m_isCloseDelimited = false;
     m_isResponseDone = true;
     m_idleSince = loop().now();
+    // Sending may have failed, after which the connection is about to be destroyed.
+    if (!isOpen())
+        return;
     if (!m_isPersistent) {
         startClosing();
         return;
--- a/tests/adapter/DepartedCallerTest.cpp
+++ b/tests/adapter/DepartedCallerTest.cpp
@@ -84,3 +84,25 @@
     fixture.settle();
     CHECK(fixture.outcomes(gateway::RequestOutcome::CallerLeft) == 1);
 }
+
+// Guards against the use of a connection after its destruction, which the sanitizers report.
+TEST_CASE("A response to a caller that has reset its connection is dropped with the connection")
+{
+    Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1:0"));
+    ExchangeFixture fixture;
+    fixture.addServer("one", server.address().toString());
+    Poco::Net::StreamSocket caller = fixture.send(fixture.request("/departed"));
+    Poco::Net::StreamSocket attempt = server.acceptConnection();
+    char head[4096];
+    attempt.receiveBytes(head, sizeof head);
+    // The response is handled before the reset, but cannot be sent any more.
+    fixture.loopThread.whileHeld([&] {
+        fixture.write(attempt, GatewayFixture::completeResponse("\r\nAttempt-Id: id\r\n", "body"));
+        caller.setLinger(true, 0);
+        caller.close();
+    });
+    fixture.settle();
+    CHECK(fixture.outcomes(gateway::RequestOutcome::CallerLeft) == 1);
+    // The response was complete, so that its connection is kept.
+    CHECK(fixture.pool.size() == 1);
+}
