Ask the store again before a change may stay unknown

Cause: a call of the watch that the store neither answers nor cuts was believed for its whole wait of 20 s, though changes have to be known within 2.5 s. A daemon that watches the store itself now asks it to hold a call for two fifths of that time, from the start on.

Evidence: the daemons' logs show the changes at 33.25 s, which is the last report at 12.0 s, the pause of 1.25 s and 20 s, without store-lost between: no error and no back-off.

--- a/modules/sardinehollow_gateway/sharing/SharedMirror.cpp
+++ b/modules/sardinehollow_gateway/sharing/SharedMirror.cpp
@@ -46,6 +46,7 @@
     , m_mirror(store, platform::CallPurpose::Configuration, "", *this, m_settings.seed,
                m_times.ownWatchPause, m_settings.self.peerAddress.empty())
 {
+    setWatchPacing();
     if (m_settings.self.peerAddress.empty())
         return;
     m_isWatching = false;
@@ -303,10 +304,7 @@
     if (isSource)
         relays.clear();
     m_isRelay = isSource && hasFollowers;
-    // Where no daemon depends on another, longer pauses save calls.
-    m_store.setWatchPacing(m_isRelay ? platform::WatchPacing {m_times.watchPause,
-                                                              m_times.watchPause, m_times.watchWait}
-                                     : platform::WatchPacing {m_times.ownWatchPause});
+    setWatchPacing();
     if (relays == m_follower.relays())
         return;
     m_follower.setRelays(relays);
@@ -316,6 +314,15 @@
     sendFollows();
 }
 
+// Where no daemon depends on another, longer pauses save calls.
+void SharedMirror::setWatchPacing()
+{
+    if (m_isRelay)
+        m_store.setWatchPacing({m_times.watchPause, m_times.watchPause, m_times.watchWait});
+    else
+        m_store.setWatchPacing({m_times.ownWatchPause, core::Duration {0}, m_times.ownWatchWait});
+}
+
 bool SharedMirror::openTransport()
 {
     peer::TransportSettings settings;
--- a/modules/sardinehollow_gateway/sharing/SharedMirror.h
+++ b/modules/sardinehollow_gateway/sharing/SharedMirror.h
@@ -85,6 +85,8 @@
     void applyFrame(const std::string &relay, const sharing::FeedFrame &frame);
     void updateMembers(const routing::EntryDirectory &entries);
     /** Returns false if the peer address cannot be bound; then nothing is shared. */
+    /** Paces the store's watch for a relay or for this daemon alone. */
+    void setWatchPacing();
     bool openTransport();
     void updateWatch();
     void sendFollow(const std::string &relay);
--- a/modules/sardinehollow_sharing/SharingTimes.h
+++ b/modules/sardinehollow_sharing/SharingTimes.h
@@ -20,6 +20,7 @@
         , watchPause(maxStoreDelay / 4)
         , watchWait(maxStoreDelay / 8)
         , ownWatchPause(maxStoreDelay / 2)
+        , ownWatchWait(maxStoreDelay * 2 / 5)
     { }
 
     /** Interval between a relay's frames to a follower while nothing changes. */
@@ -40,6 +41,11 @@
     core::Duration watchWait;
     /** Pause after changes of a watch that no other daemon depends on. */
     core::Duration ownWatchPause;
+    /**
+     * How long the store may hold a call of such a watch. A call that it neither answers nor cuts
+     * hides changes for that time; with the pause before it, they must still be known in time.
+     */
+    core::Duration ownWatchWait;
 };
 
 } // namespace sardinehollow::sharing
