Log which request an attempt belongs to, and when a crash is confirmed

The record of the incident could not tell its hypotheses apart: lines of attempts and requests did not name the fingerprint that request-quarantined names, and no line said when a server's crash was confirmed. attempt-failed lines have the hash now, request lines too unless the response was delivered, and crash-confirmed names request, server and the time that it took. No decision changes.

--- a/modules/sardinehollow_gateway/application/GatewayApplication.cpp
+++ b/modules/sardinehollow_gateway/application/GatewayApplication.cpp
@@ -4,8 +4,6 @@
 #include "sardinehollow_gateway/application/EntryCodec.h"
 #include "sardinehollow_metrics/PrometheusWriter.h"
 
-#include <Poco/NumberFormatter.h>
-
 #include <algorithm>
 
 namespace sardinehollow::gateway {
@@ -126,11 +124,7 @@
     m_serverTracker.removeDue();
     m_entryTracker.removeDue();
     m_pool.prune();
-    for (const std::uint64_t request : m_routing.quarantine().evaluate(m_loop.now()))
-        m_log.write(logging::LogLine("request-quarantined")
-                            .text("request",
-                                  Poco::NumberFormatter::formatHex(
-                                          static_cast<Poco::UInt64>(request))));
+    evaluateQuarantine();
     publishCrashReports();
     m_mirror->onTick(m_routing.entries());
     if (m_stoppingSince.count() > 0)
@@ -168,6 +162,18 @@
     m_log.write(logging::LogLine("ready").text("vm", m_settings.self.name));
 }
 
+void GatewayApplication::evaluateQuarantine()
+{
+    const routing::QuarantineFindings findings = m_routing.quarantine().evaluate(m_loop.now());
+    for (const routing::QuarantineFindings::Crash &crash : findings.crashes)
+        m_log.write(logging::LogLine("crash-confirmed")
+                            .hash("request", crash.report.request)
+                            .text("server", crash.report.server)
+                            .milliseconds("after", crash.delay));
+    for (const std::uint64_t request : findings.quarantined)
+        m_log.write(logging::LogLine("request-quarantined").hash("request", request));
+}
+
 void GatewayApplication::publishCrashReports()
 {
     const routing::RequestQuarantine &quarantine = m_routing.quarantine();
--- a/modules/sardinehollow_gateway/application/GatewayApplication.h
+++ b/modules/sardinehollow_gateway/application/GatewayApplication.h
@@ -42,6 +42,7 @@
     /** Logs that timers run late, which delays requests as well. */
     void reportLoopDelay();
     /** Publishes the crash reports of this daemon in its store entry. */
+    void evaluateQuarantine();
     void publishCrashReports();
     /** Writes the entry that directs callers here. */
     void publishEntry();
--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -543,6 +543,7 @@
     const core::Instant now = m_services.loop.now();
     logging::LogLine line("attempt-failed");
     line.text("id", m_requestFields.requestId)
+            .hash("request", m_requestHash)
             .text("server", m_server ? m_server->server().id : "")
             .text("reason", toName(reason))
             .text("detail", detail)
@@ -659,6 +660,8 @@
             .text("detail", detail);
     appendHome(line, "near", m_selectionInputs.near);
     appendHome(line, "far", m_selectionInputs.far);
+    if (m_requestHash != 0 && outcome != RequestOutcome::Delivered)
+        line.hash("request", m_requestHash);
     line.number("spillPercent", static_cast<std::int64_t>(m_selectionInputs.spillLevel * percent));
     std::string servers;
     for (const std::string &id : m_tried)
--- a/modules/sardinehollow_logging/LogLine.cpp
+++ b/modules/sardinehollow_logging/LogLine.cpp
@@ -1,5 +1,9 @@
 #include "sardinehollow_logging/LogLine.h"
 
+#include <array>
+#include <cinttypes>
+#include <cstdio>
+
 namespace sardinehollow::logging {
 
 namespace {
@@ -38,6 +42,13 @@
     return *this;
 }
 
+LogLine &LogLine::hash(std::string_view name, std::uint64_t value)
+{
+    std::array<char, 17> digits {};
+    const int count = std::snprintf(digits.data(), digits.size(), "%" PRIX64, value);
+    return text(name, std::string_view(digits.data(), static_cast<std::size_t>(count)));
+}
+
 LogLine &LogLine::milliseconds(std::string_view name, core::Duration value)
 {
     return number(name, std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
--- a/modules/sardinehollow_logging/LogLine.h
+++ b/modules/sardinehollow_logging/LogLine.h
@@ -16,6 +16,8 @@
 
     LogLine &text(std::string_view name, std::string_view value);
     LogLine &number(std::string_view name, std::int64_t value);
+    /** Adds a hash as hexadecimal text, because JSON numbers are not exact at 64 bits. */
+    LogLine &hash(std::string_view name, std::uint64_t value);
     /** Adds a duration in whole milliseconds, rounded towards zero. */
     LogLine &milliseconds(std::string_view name, core::Duration value);
 
--- a/modules/sardinehollow_routing/quarantine/RequestQuarantine.cpp
+++ b/modules/sardinehollow_routing/quarantine/RequestQuarantine.cpp
@@ -71,17 +71,20 @@
                   [request](const ReportEntry &entry) { return entry.report.request == request; });
 }
 
-std::vector<std::uint64_t> RequestQuarantine::evaluate(core::Instant now)
+QuarantineFindings RequestQuarantine::evaluate(core::Instant now)
 {
+    QuarantineFindings findings;
     for (auto lost = m_lostRequests.begin(); lost != m_lostRequests.end();) {
         const bool isTooLate = now - lost->at > crashConfirmationTime;
         const bool isCrash = hasCrashed(*lost);
         const bool isCleared = isTooLate || hasSurvived(*lost);
-        if (isCrash && !isCleared)
-            addReport(*lost, now);
+        if (isCrash && !isCleared) {
+            const CrashReport report {lost->request, incarnationOf(*lost->server)};
+            addReport(report, now);
+            findings.crashes.push_back({report, now - lost->at});
+        }
         lost = isCrash || isCleared ? m_lostRequests.erase(lost) : std::next(lost);
     }
-    std::vector<std::uint64_t> quarantined;
     for (const std::uint64_t request : m_candidates) {
         if (contains(request, now) || !isConfirmed(request, now))
             continue;
@@ -89,11 +92,11 @@
         if (m_quarantined.size() >= maximumQuarantined)
             continue;
         m_quarantined[request] = now + quarantineDuration;
-        quarantined.push_back(request);
+        findings.quarantined.push_back(request);
     }
     m_candidates.clear();
     dropExpired(now);
-    return quarantined;
+    return findings;
 }
 
 void RequestQuarantine::dropExpired(core::Instant now)
@@ -132,16 +135,15 @@
                        [&](const ReportEntry &entry) { return entry.report.isSameCrash(report); });
 }
 
-void RequestQuarantine::addReport(const LostRequest &lost, core::Instant now)
+void RequestQuarantine::addReport(const CrashReport &report, core::Instant now)
 {
-    const CrashReport report {lost.request, incarnationOf(*lost.server)};
     std::erase_if(m_reportEntries, [&](const ReportEntry &entry) {
         return entry.expires <= now || entry.report.isSameCrash(report);
     });
     m_reportEntries.push_back({report, now + quarantineDuration});
     if (m_reportEntries.size() > maximumReports)
         m_reportEntries.pop_front();
-    m_candidates.push_back(lost.request);
+    m_candidates.push_back(report.request);
     ++m_reportCount;
 }
 
--- a/modules/sardinehollow_routing/quarantine/RequestQuarantine.h
+++ b/modules/sardinehollow_routing/quarantine/RequestQuarantine.h
@@ -3,6 +3,7 @@
 #include "sardinehollow_core/time/Instant.h"
 #include "sardinehollow_routing/backends/BackendRegistry.h"
 #include "sardinehollow_routing/quarantine/CrashReport.h"
+#include "sardinehollow_routing/quarantine/QuarantineFindings.h"
 
 #include <cstdint>
 #include <deque>
@@ -33,8 +34,8 @@
                             core::Instant now);
     /** Records that a server answered the request, which clears it of suspicion at this daemon. */
     void onRequestCompleted(std::uint64_t request);
-    /** Checks for crashed servers and returns the requests that are newly quarantined. */
-    std::vector<std::uint64_t> evaluate(core::Instant now);
+    /** Checks for crashed servers and for requests that are to be quarantined. */
+    QuarantineFindings evaluate(core::Instant now);
     /** Whether the request is quarantined. */
     bool contains(std::uint64_t request, core::Instant now) const;
     /** Number of quarantined requests; may include expired ones. */
@@ -77,7 +78,7 @@
     static bool hasCrashed(const LostRequest &lost);
     /** Whether the server has answered others for long enough after the attempt was given up. */
     static bool hasSurvived(const LostRequest &lost);
-    void addReport(const LostRequest &lost, core::Instant now);
+    void addReport(const CrashReport &report, core::Instant now);
     /** Whether unexpired reports name two or more crashed servers for the request. */
     bool isConfirmed(std::uint64_t request, core::Instant now) const;
 
--- a/tests/routing/RequestQuarantineTest.cpp
+++ b/tests/routing/RequestQuarantineTest.cpp
@@ -160,8 +160,8 @@
     other.crash("s2");
     CHECK_FALSE(other.isQuarantined());
     other.quarantine.setPeerReports("one", one.quarantine.reports(), other.now);
-    const std::vector<std::uint64_t> found = other.quarantine.evaluate(other.now);
-    CHECK(found == std::vector<std::uint64_t> {request});
+    const routing::QuarantineFindings found = other.quarantine.evaluate(other.now);
+    CHECK(found.quarantined == std::vector<std::uint64_t> {request});
     CHECK(other.isQuarantined());
     // An entry that is read again, such as after an outage of the store, does not renew its
     // reports.
