Add failing tests of the incident: crashing requests of many callers, leases

A leased key that is updated once a second of the store's time loses its lease after 3 s, as 90 entries of running daemons did in the incident.

--- a/tests/adapter/CrashingRequestTest.cpp
+++ b/tests/adapter/CrashingRequestTest.cpp
@@ -95,3 +95,33 @@
     CHECK(fixture.call("/crash") == 503);
     CHECK(third.heads().empty());
 }
+
+// BUDGET: repeats of other callers, or with another spelling of the host, ended two more servers.
+TEST_CASE("A request that crashes servers is known again whoever sends it")
+{
+    struct Repeat
+    {
+        const char *callerAddress;
+        const char *host;
+    };
+    const Repeat repeat
+            = GENERATE(Repeat {"127.0.0.2", "h.example"}, Repeat {"127.0.0.1", "H.Example"},
+                       Repeat {"127.0.0.1", "h.example:80"});
+    CAPTURE(repeat.callerAddress, repeat.host);
+    ExchangeFixture fixture;
+    RawServer server([](const std::string &) { return Reply {"", true}; });
+    fixture.addServer("one", server.address());
+    CHECK(fixture.call("/crash") == 502);
+    fixture.removeServer("one");
+    fixture.crashReports();
+    fixture.addServer("two", server.address());
+    CHECK(ExchangeFixture::statusOf(
+                  fixture.send(ExchangeFixture::request("/crash", "", 60'000, repeat.host),
+                               repeat.callerAddress))
+          == 502);
+    fixture.removeServer("two");
+    fixture.crashReports();
+    fixture.addServer("three", server.address());
+    CHECK(fixture.call("/crash") == 503);
+    CHECK(fixture.attempts() == 2);
+}
--- a/tests/adapter/ExchangeFixture.h
+++ b/tests/adapter/ExchangeFixture.h
@@ -53,11 +53,11 @@
     }
 
     static std::string request(const std::string &target, const std::string &body = "",
-                               int deadlineMilliseconds = 60'000)
+                               int deadlineMilliseconds = 60'000,
+                               const std::string &host = "h.example")
     {
-        return "POST " + target
-                + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: id\r\nContent-Length: "
-                + std::to_string(body.size())
+        return "POST " + target + " HTTP/1.1\r\nHost: " + host
+                + "\r\nAttempt-Id: id\r\nContent-Length: " + std::to_string(body.size())
                 + "\r\nDeadline-Ms: " + std::to_string(deadlineMilliseconds) + "\r\n\r\n" + body;
     }
 
@@ -66,10 +66,13 @@
         socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
     }
 
-    /** Connects as a caller and sends bytes. */
-    Poco::Net::StreamSocket send(const std::string &bytes) const
+    /** Connects as a caller with an address of the loopback network and sends bytes. */
+    Poco::Net::StreamSocket send(const std::string &bytes,
+                                 const std::string &callerAddress = "127.0.0.1") const
     {
-        Poco::Net::StreamSocket socket(m_listener.address());
+        Poco::Net::StreamSocket socket;
+        socket.impl()->bind(Poco::Net::SocketAddress(callerAddress, 0));
+        socket.connect(Poco::Net::SocketAddress(m_listener.address()));
         write(socket, bytes);
         return socket;
     }
@@ -77,7 +80,12 @@
     /** Sends a request and returns the status of its response. */
     int call(const std::string &target, int deadlineMilliseconds = 60'000) const
     {
-        Poco::Net::StreamSocket socket = send(request(target, "", deadlineMilliseconds));
+        return statusOf(send(request(target, "", deadlineMilliseconds)));
+    }
+
+    /** Receives a response and returns its status. */
+    static int statusOf(Poco::Net::StreamSocket socket)
+    {
         std::string text;
         char buffer[256];
         while (text.find("\r\n\r\n") == std::string::npos)
--- a/tests/gateway/PrefixMirrorTest.cpp
+++ b/tests/gateway/PrefixMirrorTest.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <condition_variable>
 
 using namespace sardinehollow;
@@ -257,3 +258,23 @@
     REQUIRE(messages.size() == 1);
     CHECK(messages.front().find("could not be removed") != std::string::npos);
 }
+
+// Guards against a lease that expires because updates of the key take the place of its renewals.
+TEST_CASE("A leased key that is updated all the time keeps its lease")
+{
+    tests::FakeStore store;
+    std::atomic<int> failures = 0;
+    platform::LeasedKey key(store, CallPurpose::Entries, "entries/one", "0", 3s, 1,
+                            [&](const core::Error &) { ++failures; });
+    for (int update = 1; update <= 12; ++update) {
+        const std::string value = std::to_string(update);
+        key.update(value);
+        for (std::string found; found != value && failures == 0;) {
+            const auto range = store.range(CallPurpose::Operator, "entries/one", false);
+            found = range->keyValues.empty() ? "" : range->keyValues.front().value;
+            std::this_thread::sleep_for(1ms);
+        }
+        store.advance(1s);
+    }
+    CHECK(failures == 0);
+}
