Tell requests that crash servers apart by what servers get, not by who sends

Cause: the fingerprint of a request covered the caller's address. The same request came from another client each time, so that each address passed for a request of its own, had to end two servers, and was then quarantined in vain. The class: an identity that holds more than what is to be identified.

Change: method, host, target and body make the fingerprint. The host counts without case and port, as the routes have it: the same class of fault, by another spelling.

--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -244,13 +244,12 @@
 
 std::uint64_t Exchange::requestHash() const
 {
-    const std::uint64_t head = core::combineHashes(core::stableHash(m_request.getMethod() + " "
-                                                                    + m_request.get("Host", "")
-                                                                    + m_request.getURI()),
-                                                   core::stableHash(m_caller));
+    // Only what the server gets: the same request may come from any caller, over any connection.
+    const std::string head = m_request.getMethod() + " "
+            + routing::RouteTable::hostName(m_request.get("Host", "")) + m_request.getURI();
     // Of a streamed body, the buffered part varies with how it arrived.
-    return core::combineHashes(
-            head, core::stableHash(std::string_view(m_body).substr(0, maximumBufferedBodyBytes)));
+    const std::string_view body = std::string_view(m_body).substr(0, maximumBufferedBodyBytes);
+    return core::combineHashes(core::stableHash(head), core::stableHash(body));
 }
 
 void Exchange::send(const routing::Selection &selection)
--- a/modules/sardinehollow_routing/configuration/RouteTable.cpp
+++ b/modules/sardinehollow_routing/configuration/RouteTable.cpp
@@ -18,8 +18,7 @@
 
 const Route *RouteTable::find(std::string_view host, std::string_view path) const
 {
-    const std::string name = Poco::toLower(std::string(host.substr(0, host.find(':'))));
-    const auto known = m_hosts.find(name);
+    const auto known = m_hosts.find(hostName(host));
     if (known == m_hosts.end())
         return nullptr;
     const HostRoutes &routes = known->second;
@@ -37,6 +36,11 @@
     return nullptr;
 }
 
+std::string RouteTable::hostName(std::string_view hostField)
+{
+    return Poco::toLower(std::string(hostField.substr(0, hostField.find(':'))));
+}
+
 const ServicePolicy *RouteTable::service(const std::string &name) const
 {
     const auto found = m_configuration.services.find(name);
--- a/modules/sardinehollow_routing/configuration/RouteTable.h
+++ b/modules/sardinehollow_routing/configuration/RouteTable.h
@@ -20,6 +20,8 @@
      * compared without case and port; a query behind the path is ignored.
      */
     const Route *find(std::string_view host, std::string_view path) const;
+    /** Returns a Host field's host in lower case and without its port. */
+    static std::string hostName(std::string_view hostField);
     /** Returns the service's policy, or nullptr if the configuration has none. */
     const ServicePolicy *service(const std::string &name) const;
     const RoutingConfiguration &configuration() const { return m_configuration; }
--- a/modules/sardinehollow_routing/quarantine/CrashReport.h
+++ b/modules/sardinehollow_routing/quarantine/CrashReport.h
@@ -8,7 +8,7 @@
 /** A request that was in flight on a backend server when the server crashed. */
 struct CrashReport
 {
-    /** Fingerprint: hash of caller, method, host, target and body; the same at every daemon. */
+    /** Fingerprint: hash of method, host, target and body; the same at every daemon. */
     std::uint64_t request = 0;
     /** The server's incarnation: id and start time. */
     std::string server;
