Renew the lease of a key also while the key is updated

Such a daemon is out of the directory and out of the others' counts of members for a while, and its watch of the store starts anew.

Cause: an update of the key and a renewal of its lease share a thread and one timer, which each of them sets back. A write does not renew a lease. A daemon that publishes crash reports once a second therefore renews nothing until the reports cease. The class: a periodic duty that an event postpones.

The other holder of a lease, ClaimService, renews by its own clock and before it appends; it does not have the fault.

--- a/modules/sardinehollow_platform/lease/LeasedKey.cpp
+++ b/modules/sardinehollow_platform/lease/LeasedKey.cpp
@@ -96,8 +96,9 @@
 
 bool LeasedKey::writeUpdate()
 {
+    // A write does not renew the lease, and takes the turn of a renewal.
     if (write(m_lease))
-        return true;
+        return renew();
     // It is unknown whether the lease is still valid; the next attempt grants a new one.
     m_lease = 0;
     return false;
