Take another server at a server's address for a sign that it has crashed

A crash was confirmed by a refused connection or by the removal of the server's entry.

The test failed before in both rows in which the server is replaced after the request was lost.

--- a/modules/sardinehollow_routing/backends/BackendState.cpp
+++ b/modules/sardinehollow_routing/backends/BackendState.cpp
@@ -158,6 +158,7 @@
 
 void BackendState::onReplaced(core::Instant now)
 {
+    m_lastReplacedAt = now;
     m_avoidUntil = now + replacedAvoidanceTime;
 }
 
--- a/modules/sardinehollow_routing/backends/BackendState.h
+++ b/modules/sardinehollow_routing/backends/BackendState.h
@@ -99,6 +99,8 @@
     void onSuccess();
     /** Another server answered at its address: this one has ended, though its entry may remain. */
     void onReplaced(core::Instant now);
+    /** Time of the last response of another server at its address; 0 if none. */
+    core::Instant lastReplacedAt() const { return m_lastReplacedAt; }
     /**
      * Whether the server is avoided after recent failures (outlier ejection). Once the avoidance
      * time has passed, one request at a time probes whether the server has recovered.
@@ -147,6 +149,7 @@
     core::Instant m_avoidUntil {0};
     core::Instant m_lastConnectFailureAt {0};
     core::Instant m_lastRefusalAt {0};
+    core::Instant m_lastReplacedAt {0};
     core::Instant m_coldUntil {0};
     core::TokenBucket m_coldPermits;
     ServerRateLimit m_rateLimit;
--- a/modules/sardinehollow_routing/quarantine/RequestQuarantine.cpp
+++ b/modules/sardinehollow_routing/quarantine/RequestQuarantine.cpp
@@ -52,10 +52,11 @@
 bool RequestQuarantine::hasCrashed(const LostRequest &lost)
 {
     const BackendState &server = *lost.server;
+    const bool hasEnded = server.isRemoved() || server.lastReplacedAt() >= lost.at;
     if (!lost.isAbandoned)
-        return server.isRemoved() || server.lastConnectFailureAt() >= lost.at;
+        return hasEnded || server.lastConnectFailureAt() >= lost.at;
     // Requests are also given up at servers that are cut off from this daemon, or that leave.
-    return server.lastRefusalAt() >= lost.at || (server.isRemoved() && !server.isLeaving());
+    return server.lastRefusalAt() >= lost.at || (hasEnded && !server.isLeaving());
 }
 
 bool RequestQuarantine::hasSurvived(const LostRequest &lost)
--- a/tests/routing/RequestQuarantineTest.cpp
+++ b/tests/routing/RequestQuarantineTest.cpp
@@ -152,6 +152,29 @@
     CHECK(world.isQuarantined());
 }
 
+// Guards against a crash that goes unnoticed until the entry of the server leaves the store.
+TEST_CASE("A server whose address another one has taken over counts as crashed")
+{
+    const bool isAbandoned = GENERATE(false, true);
+    const bool isReplacedBefore = GENERATE(false, true);
+    CAPTURE(isAbandoned, isReplacedBefore);
+    World world;
+    for (const std::string id : {"s1", "s2"}) {
+        const routing::BackendStatePtr server = makeServer(id);
+        if (isReplacedBefore)
+            server->onReplaced(world.now - 1s);
+        if (isAbandoned)
+            world.quarantine.onAttemptAbandoned(request, server, world.now);
+        else
+            world.quarantine.onConnectionLost(request, server, world.now);
+        world.now += 1s;
+        if (!isReplacedBefore)
+            server->onReplaced(world.now);
+        world.quarantine.evaluate(world.now);
+    }
+    CHECK(world.isQuarantined() == !isReplacedBefore);
+}
+
 TEST_CASE("Daemons that saw one crash each quarantine the request together")
 {
     World one;
