Let an answer clear a request of the crash reports of all daemons

The fingerprint of a request now covers all callers, so that a popular request that was in flight on two servers that crashed for another reason would be refused to all of them for 60 s. A request that crashes servers is never answered: an answer is proof to the contrary. It cleared the daemon's own reports only. It now clears those that other daemons have made so far, which may be read again, and ends the quarantine. Reports of later crashes count again.

The test failed before in all three checks after the answer.

--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -484,7 +484,8 @@
 void Exchange::recordServerAnswer()
 {
     m_server->onSuccess();
-    m_services.routing.quarantine().onRequestCompleted(m_requestHash);
+    if (m_services.routing.quarantine().onRequestCompleted(m_requestHash))
+        m_services.log.write(serverLine("quarantine-ended").hash("request", m_requestHash));
 }
 
 void Exchange::deliver()
--- a/modules/sardinehollow_routing/quarantine/RequestQuarantine.cpp
+++ b/modules/sardinehollow_routing/quarantine/RequestQuarantine.cpp
@@ -64,12 +64,18 @@
     return lost.isAbandoned && lost.server->lastResponseAt() > lost.at + abandonedRunTime;
 }
 
-void RequestQuarantine::onRequestCompleted(std::uint64_t request)
+bool RequestQuarantine::onRequestCompleted(std::uint64_t request)
 {
     std::erase_if(m_lostRequests,
                   [request](const LostRequest &lost) { return lost.request == request; });
     std::erase_if(m_reportEntries,
                   [request](const ReportEntry &entry) { return entry.report.request == request; });
+    // Kept, since the peers' entries still have the reports when they are read again.
+    for (auto &[daemon, entries] : m_peerReports) {
+        for (ReportEntry &entry : entries)
+            entry.isCleared = entry.isCleared || entry.report.request == request;
+    }
+    return m_quarantined.erase(request) > 0;
 }
 
 QuarantineFindings RequestQuarantine::evaluate(core::Instant now)
@@ -118,7 +124,7 @@
     for (const auto &[daemon, entries] : m_peerReports) {
         for (const ReportEntry &entry : entries) {
             const CrashReport &report = entry.report;
-            const bool isNews = report.request == request && !report.isRelayed
+            const bool isNews = report.request == request && !report.isRelayed && !entry.isCleared
                     && now < entry.expires && !hasOwnReport(report);
             if (!isNews)
                 continue;
@@ -152,7 +158,7 @@
 {
     std::set<std::string> servers;
     const auto add = [&](const ReportEntry &entry) {
-        if (entry.report.request == request && now < entry.expires)
+        if (entry.report.request == request && !entry.isCleared && now < entry.expires)
             servers.insert(entry.report.server);
     };
     std::for_each(m_reportEntries.begin(), m_reportEntries.end(), add);
--- a/modules/sardinehollow_routing/quarantine/RequestQuarantine.h
+++ b/modules/sardinehollow_routing/quarantine/RequestQuarantine.h
@@ -32,8 +32,11 @@
      */
     void onAttemptAbandoned(std::uint64_t request, const BackendStatePtr &server,
                             core::Instant now);
-    /** Records that a server answered the request, which clears it of suspicion at this daemon. */
-    void onRequestCompleted(std::uint64_t request);
+    /**
+     * Records that a server answered the request, which clears it at this daemon of all reports so
+     * far, also of those of other daemons. Returns whether this ended its quarantine.
+     */
+    bool onRequestCompleted(std::uint64_t request);
     /** Checks for crashed servers and for requests that are to be quarantined. */
     QuarantineFindings evaluate(core::Instant now);
     /** Whether the request is quarantined. */
@@ -69,6 +72,8 @@
     {
         CrashReport report;
         core::Instant expires {0};
+        /** Whether the request was answered after the report. */
+        bool isCleared = false;
     };
 
     bool hasOwnReport(const CrashReport &report) const;
--- a/tests/routing/RequestQuarantineTest.cpp
+++ b/tests/routing/RequestQuarantineTest.cpp
@@ -175,6 +175,28 @@
     CHECK(world.isQuarantined() == !isReplacedBefore);
 }
 
+// Guards against refusing a popular request everywhere since it was in flight on servers that
+// crashed for another reason.
+TEST_CASE("An answer clears a request of the reports of all daemons")
+{
+    World world;
+    const std::vector<routing::CrashReport> reports {{request, "s1@1"}, {request, "s2@1"}};
+    const auto read = [&](const std::vector<routing::CrashReport> &entry) {
+        world.quarantine.setPeerReports("other", entry, world.now);
+        world.quarantine.evaluate(world.now);
+    };
+    read(reports);
+    REQUIRE(world.isQuarantined());
+    world.quarantine.onRequestCompleted(request);
+    CHECK_FALSE(world.isQuarantined());
+    read(reports);
+    CHECK_FALSE(world.isQuarantined());
+    read({{request, "s3@1"}});
+    CHECK_FALSE(world.isQuarantined());
+    world.crash("s4");
+    CHECK(world.isQuarantined());
+}
+
 TEST_CASE("Daemons that saw one crash each quarantine the request together")
 {
     World one;
