Keep a request suspected when a server fails it

A delivered response of any status cleared a request of its crash reports. A server that fails a part of its requests answers 500 before the request gets as far as to crash it, and the next servers are ended again. Only responses below 500 clear it now.

The test failed before in the row of status 500: the third server got the request.

--- a/modules/sardinehollow_gateway/exchange/Exchange.cpp
+++ b/modules/sardinehollow_gateway/exchange/Exchange.cpp
@@ -484,6 +484,9 @@
 void Exchange::recordServerAnswer()
 {
     m_server->onSuccess();
+    // A server may fail a request without running it far enough to crash.
+    if (m_response->getStatus() >= HTTPResponse::HTTP_INTERNAL_SERVER_ERROR)
+        return;
     if (m_services.routing.quarantine().onRequestCompleted(m_requestHash))
         m_services.log.write(serverLine("quarantine-ended").hash("request", m_requestHash));
 }
--- a/tests/adapter/CrashingRequestTest.cpp
+++ b/tests/adapter/CrashingRequestTest.cpp
@@ -125,3 +125,35 @@
     CHECK(fixture.call("/crash") == 503);
     CHECK(fixture.attempts() == 2);
 }
+
+// Guards against a request that ends server after server because some servers fail it in between.
+TEST_CASE("A failure response does not clear a request of the servers that it crashed")
+{
+    const int status = GENERATE(404, 500);
+    CAPTURE(status);
+    ExchangeFixture fixture;
+    RawServer crashing([](const std::string &) { return Reply {"", true}; });
+    RawServer answering([status](const std::string &) {
+        return Reply {"HTTP/1.1 " + std::to_string(status)
+                      + " Answer\r\nServer-Seal: s\r\nAttempt-Id: id\r\nContent-Length: 0\r\n\r\n"};
+    });
+    for (const std::string id : {"one", "two"}) {
+        fixture.addServer(id, crashing.address());
+        CHECK(fixture.call("/crash") == 502);
+        fixture.removeServer(id);
+        fixture.crashReports();
+        if (id == "two")
+            break;
+        // As many as there are attempts, so that the last failure is delivered.
+        const std::vector<std::string> others {"a", "b", "c"};
+        for (const std::string &other : others)
+            fixture.addServer(other, answering.address());
+        CHECK(fixture.call("/crash") == status);
+        for (const std::string &other : others)
+            fixture.removeServer(other);
+    }
+    fixture.addServer("three", crashing.address());
+    const bool isCleared = status == 404;
+    CHECK(fixture.call("/crash") == (isCleared ? 502 : 503));
+    CHECK(crashing.heads().size() == (isCleared ? 3 : 2));
+}
