--- a/modules/sardinehollow_platform/lease/LeasedKey.h
+++ b/modules/sardinehollow_platform/lease/LeasedKey.h
@@ -51,8 +51,7 @@
     bool renew();
     /** Grants a new lease and writes the key under it; returns whether that succeeded. */
     bool publish();
-    /** Writes a changed value under the current lease and renews it; returns whether both
-     * succeeded. */
+    /** Writes a changed value and renews the lease; returns whether both succeeded. */
     bool writeUpdate();
     bool write(std::int64_t lease);
     void revoke();
