--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -336,12 +336,16 @@
         await asyncio.get_running_loop().sock_sendall(self.socket, text.encode() + b"\r\n" + body)
         return answer
 
-    async def receive(self, answer, timeout, pause_after=None, pause=0.0):
-        """Reads the answer; after pause_after bytes of the body the client reads nothing for a while."""
+    async def receive(self, answer, timeout, pause_after=None, pause=0.0, rate=None):
+        """Reads the answer; after pause_after bytes of the body the client reads nothing for a while.
+
+        With a rate, in bytes a second, the client reads evenly and no faster than that.
+        """
         loop = asyncio.get_running_loop()
         end = time.monotonic() + timeout
         data = b""
         paused = pause <= 0
+        started = None
         try:
             while True:
                 position = data.find(b"\r\n\r\n")
@@ -366,6 +370,9 @@
                     answer.end = "connection closed"
                     break
                 data += chunk
+                if rate:
+                    started = started or time.monotonic()
+                    await asyncio.sleep(max(0, started + len(data) / rate - time.monotonic()))
         except asyncio.TimeoutError:
             answer.end = "no end within the time"
         except OSError as error:
