--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,106 +1,75 @@
-"""A write of a daemon is done late; the daemon stays out of the directory for good."""
+"""The daemon's connections to clients that read slowly break after ten seconds."""
 
 import asyncio
-import json
 import pathlib
-import random
+import signal
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "standins"))
-from standins import (Client, Daemon, Store, Upstream, configuration, read_head, route,  # noqa: E402
-                      run_case)
+from standins import Client, Daemon, Store, Upstream, configuration, route, run_case  # noqa: E402
 
-ZONES = {"suwon-a": "gyeonggi", "hwaseong-b": "gyeonggi", "daejeon-a": "chungcheong",
-         "cheonan-b": "chungcheong"}
-LATE_S = 2.2
-CALM_S = 17
-REQUESTS = 200
-SHARE = 1 / 20
-
-
-class LossyStore(Store):
-    """Does not answer one write of a daemon's key, and carries it out late."""
-
-    loses_next = False
-
-    async def answer(self, head, body):
-        if not (self.loses_next and "/kv-txn" in head.first):
-            return await super().answer(head, body)
-        self.loses_next = False
-        self.record.line(f"store: gives no answer to a write: {body.decode()[:120]}")
-
-        async def carry_out():
-            await asyncio.sleep(LATE_S)
-            status, _ = await Store.answer(self, head, body)
-            self.record.line(f"store: carries the write out {LATE_S} s later: {status}")
-
-        self.late = asyncio.create_task(carry_out())
-        # Nothing else comes on this connection; it ends with the daemon's time-out.
-        await asyncio.sleep(60)
-
-
-async def resolve(record, daemon, zone):
-    host, port = daemon.directory.split(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
-    writer.write(f"GET /sardinehollow/resolve?name=hulo84.example&region={ZONES[zone]}&zone={zone} "
-                 "HTTP/1.1\r\nHost: x\r\n\r\n".encode())
-    head = await read_head(reader)
-    answer = json.loads(await reader.readexactly(int(head.get("Content-Length"))))
-    writer.close()
-    return answer["addresses"]
+CLIENTS = 40
+SIZES = (300_000, 900_000)
+PAUSE_S = 0.45
+SIGHUP_AT_S = 9.5
+CONFIG_S = 2.5
+DEADLINE_MS = 5000
 
 
 async def case(record, folder, trouble, daemons):
-    store = LossyStore(record)
+    store = Store(record)
     await store.start()
-    for number, zone in enumerate(ZONES):
-        upstream = Upstream(record, f"i-{number}", "recordbook", zone)
+    upstreams = [Upstream(record, f"i-{number}", "tracevault", "suwon-a", 6)
+                 for number in range(40)]
+    for upstream in upstreams:
         await upstream.start()
         store.put("servers/" + upstream.name, upstream.entry())
-    homes = {**route("record", "safe", "recordbook", 0.8), "homeRegions": ["gyeonggi"]}
-    store.put("op/config", configuration(7, {"record": homes}, ["recordbook"]))
-    names = {zone: f"front-{zone}-1" for zone in ZONES}
-    by_zone = {zone: Daemon(record, folder, names[zone], zone, ZONES, store.address)
-               for zone in ZONES}
-    daemons += by_zone.values()
-    region_of = {daemon.front: ZONES[zone] for zone, daemon in by_zone.items()}
-    for zone in list(ZONES)[1:]:
-        by_zone[zone].start()
-        await by_zone[zone].wait_ready()
-    await asyncio.sleep(1)
-
-    # The last daemon starts while the store loses the answer to one write.
-    store.loses_next = trouble
-    last = by_zone["suwon-a"]
-    last.start()
-    await last.wait_ready()
-    await asyncio.sleep(LATE_S + 1)
-    record.line(f"all is calm for {CALM_S} s")
-    await asyncio.sleep(CALM_S)
-
-    away = 0
-    for number in range(REQUESTS):
-        # The nearest directory is that of the client's own zone.
-        zone = ("suwon-a", "hwaseong-b")[number % 2]
-        if number < 2 or number % 40 < 2:
-            addresses = await resolve(record, by_zone[zone], zone)
-            record.line(f"directory of {names[zone]} for {zone}: "
-                        + ", ".join(f"{item} ({region_of[item]})" for item in addresses))
-            known = {**(known if number else {}), zone: addresses}
-        address = random.Random(number).choice(known[zone])
-        client = Client(record, address)
-        answer = await client.send("GET", "/record/5-100", f"record-{number}", 1500,
-                                   affinity=number % 20)
-        await client.receive(answer, 2)
+    store.put("op/config", configuration(7, {
+        "trace": route("trace", "download", "tracevault", DEADLINE_MS / 1000, 1)}, ["tracevault"]))
+    daemon = Daemon(record, folder, "front-suwon-a-1", "suwon-a",
+                    {"suwon-a": "gyeonggi", "daejeon-a": "chungcheong"}, store.address)
+    daemons.append(daemon)
+    daemon.start()
+    await daemon.wait_ready()
+    end = time.monotonic() + SIGHUP_AT_S + CONFIG_S
+    answers = []
+
+    async def serve(number):
+        client = Client(record, daemon.front, receive_buffer=16384)
+        count = 0
+        while time.monotonic() < end:
+            count += 1
+            is_kept = client.socket is not None
+            answer = await client.send("GET", f"/trace/20-{SIZES[count % len(SIZES)]}",
+                                       f"trace-{number}-{count}", DEADLINE_MS, affinity=number)
+            answer.is_kept = is_kept
+            await client.receive(answer, DEADLINE_MS / 1000, pause_after=20_000,
+                                 pause=PAUSE_S if trouble else 0)
+            answers.append(answer)
+            await asyncio.sleep(0.3)
         client.close()
-        away += region_of[address] != "gyeonggi"
-    record.line(f"{away} of {REQUESTS} requests went to machines in chungcheong")
-    record.line(f"keys of the daemons in the store: "
-                f"{[key for key in store.items if any(name in key for name in names.values())]}")
-    if away <= REQUESTS * SHARE:
-        return []
-    return [f"HOME: {away} of {REQUESTS} requests of clients in gyeonggi, on a route with the home "
-            f"gyeonggi, were sent to machines in chungcheong, because the directory named them"]
+
+    clients = [asyncio.create_task(serve(number)) for number in range(CLIENTS)]
+    await asyncio.sleep(SIGHUP_AT_S)
+    hangup_at = time.monotonic()
+    daemon.signal(signal.SIGHUP)
+    await asyncio.gather(*clients)
+
+    def is_cut(answer):
+        answered = any(answer.attempt in upstream.answered for upstream in upstreams)
+        cut_by_upstream = any(answer.attempt in upstream.cut
+                              and upstream.cut[answer.attempt] < answer.ended_at - 0.1
+                              for upstream in upstreams)
+        return (not answer.is_whole and answered and not cut_by_upstream
+                and answer.ended_at - answer.sent_at < DEADLINE_MS / 1000)
+
+    cut = [answer for answer in answers if is_cut(answer)]
+    record.line(f"{len(cut)} of {len(answers)} answers were cut, {sum(item.is_kept for item in cut)}"
+                " of them on kept connections")
+    return [f"LOST: sent {answer.sent_at - hangup_at:.2f} s after the SIGHUP, {answer.text()}"
+            for answer in cut
+            if 0 <= answer.sent_at - hangup_at <= CONFIG_S]
 
 
 if __name__ == "__main__":
