--- a/review/10/case.py
+++ b/review/10/case.py
@@ -7,8 +7,8 @@
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "standins"))
-from standins import (Client, Daemon, Store, Upstream, configuration, read_head, route,  # noqa: E402
-                      run_case)
+from standins import (Client, Daemon, Store, Upstream, beat, configuration, read_head,  # noqa: E402
+                      route, run_case)
 
 ZONES = {"suwon-a": "gyeonggi", "hwaseong-b": "gyeonggi", "daejeon-a": "chungcheong",
          "cheonan-b": "chungcheong"}
@@ -53,8 +53,10 @@
 async def case(record, folder, trouble, daemons):
     store = LossyStore(record)
     await store.start()
-    for number, zone in enumerate(ZONES):
-        upstream = Upstream(record, f"i-{number}", "recordbook", zone)
+    upstreams = [Upstream(record, f"i-{number}", "recordbook", zone)
+                 for number, zone in enumerate(ZONES)]
+    beats = asyncio.create_task(beat(store, upstreams))
+    for upstream in upstreams:
         await upstream.start()
         store.put("servers/" + upstream.name, upstream.entry())
     homes = {**route("record", "safe", "recordbook", 0.8), "homeRegions": ["gyeonggi"]}
@@ -97,6 +99,7 @@
     record.line(f"{away} of {REQUESTS} requests went to machines in chungcheong")
     record.line(f"keys of the daemons in the store: "
                 f"{[key for key in store.items if any(name in key for name in names.values())]}")
+    beats.cancel()
     if away <= REQUESTS * SHARE:
         return []
     return [f"HOME: {away} of {REQUESTS} requests of clients in gyeonggi, on a route with the home "
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -7,7 +7,8 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "standins"))
-from standins import Client, Daemon, Store, Upstream, configuration, route, run_case  # noqa: E402
+from standins import (IN_TOUCH_S, Client, Daemon, Store, Upstream, beat, configuration,  # noqa: E402
+                      route, run_case)
 
 CLIENTS = 40
 SIZES = (300_000, 900_000)
@@ -32,6 +33,8 @@
     daemons.append(daemon)
     daemon.start()
     await daemon.wait_ready()
+    beats = asyncio.create_task(beat(store, upstreams))
+    await asyncio.sleep(IN_TOUCH_S)
     end = time.monotonic() + SIGHUP_AT_S + CONFIG_S
     answers = []
 
@@ -56,6 +59,8 @@
     daemon.signal(signal.SIGHUP)
     await asyncio.gather(*clients)
 
+    beats.cancel()
+
     def is_cut(answer):
         answered = any(answer.attempt in upstream.answered for upstream in upstreams)
         cut_by_upstream = any(answer.attempt in upstream.cut
--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -21,12 +22,23 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 HOST = "hulo84.example"
+# A machine is in touch once its process has run for contactS (4 s) without disruption.
+IN_TOUCH_S = 4.5
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def free_port(taken=set()):
+    """A free port below those that the system gives to outgoing connections."""
+    while True:
+        port = random.randrange(15000, 32000)
+        if port in taken:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        taken.add(port)
+        return port
 
 
 class Record:
@@ -211,6 +223,8 @@
 class Upstream:
     """A sound upstream: runs a request, answers it whole and keeps the connection.
 
+    It runs as many requests as it has slots, lets a few more wait and refuses the others.
+
     The path's last part says how long the work takes and how large the body is: .../MS-BYTES.
     """
 
@@ -221,6 +235,8 @@
         self.answered = {}
         self.cut = {}
         self.running = 0
+        self.waiting = 0
+        self.free = asyncio.Semaphore(slots)
         self.state = "ready"
         self.born = int(time.time() * 1000)
         self.seq = 0
@@ -246,7 +262,17 @@
                 attempt = head.get("Attempt-Id")
                 path = head.first.split(" ")[1]
                 if head.get("Target-Instance", self.name) != self.name:
-                    writer.write(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+                    writer.write(f"HTTP/1.1 421 Misdirected Request\r\nInstance-Id: {self.name}\r\n"
+                                 "Content-Length: 0\r\n\r\n".encode())
+                    continue
+                if path == "/health":
+                    writer.write(f"HTTP/1.1 200 OK\r\nInstance-Id: {self.name}\r\n"
+                                 "Content-Length: 0\r\n\r\n".encode())
+                    continue
+                if self.free.locked() and self.waiting >= 3 * self.slots:
+                    self.record.line(f"{self.name}: refuses {attempt}, not run")
+                    writer.write(f"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
+                                 f"Attempt-Id: {attempt}\r\nContent-Length: 0\r\n\r\n".encode())
                     continue
                 await self.run(head, path, body, attempt, writer)
                 attempt = None
@@ -259,6 +285,11 @@
 
     async def run(self, head, path, body, attempt, writer):
         milliseconds, size = (int(part) for part in path.rsplit("/", 1)[1].split("-"))
+        self.waiting += 1
+        try:
+            await self.free.acquire()
+        finally:
+            self.waiting -= 1
         self.runs.append((attempt, path, len(body)))
         self.running += 1
         self.record.line(f"{self.name}: runs {attempt} {path}, Deadline-Ms {head.get('Deadline-Ms')}")
@@ -266,9 +297,10 @@
             await asyncio.sleep(milliseconds / 1000)
         finally:
             self.running -= 1
+            self.free.release()
         content = (attempt.encode() + b".") * (size // (len(attempt) + 1) + 1)
         answer = (f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Seal: seal-{attempt}\r\n"
-                  f"Server-Load: {self.running},0,{self.slots}\r\nKeep-Alive: timeout=30\r\n"
+                  f"Server-Load: {self.running},{self.waiting},{self.slots}\r\nKeep-Alive: timeout=30\r\n"
                   f"Content-Length: {size}\r\n\r\n").encode() + content[:size]
         writer.write(answer)
         self.answered[attempt] = time.monotonic()
@@ -276,6 +308,14 @@
         await writer.drain()
 
 
+async def beat(store, upstreams):
+    """The upstreams' heartbeats, every beatIntervalS of 1.5 s; ends with the case."""
+    while True:
+        await asyncio.sleep(1.5)
+        for upstream in upstreams:
+            store.put("servers/" + upstream.name, upstream.entry())
+
+
 def expected_body(attempt, size):
     return ((attempt.encode() + b".") * (size // (len(attempt) + 1) + 1))[:size]
 
